--- /dev/null
+++ b/crates/balancer/src/api.rs
@@ -0,0 +1,240 @@
+//! The interface of the decision module: settings at start-up, events in, actions out.
+
+/// A moment or a span, in seconds. The clock has no special start; it only goes forward.
+pub type Secs = f64;
+/// A server, the same at every balancer and across restarts of its process.
+pub type ServerId = u32;
+/// A request and, once it has begun, its connection.
+pub type RequestId = u64;
+
+/// What may happen when a request of a class runs more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Safe,
+    Keyed,
+    Unsafe,
+}
+
+/// The servers that drop each other's repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub effect: Effect,
+    pub scope: Scope,
+    /// How long servers remember a keyed request, from the first attempt that may have run.
+    pub window: Secs,
+    /// The wanted time of the set-up.
+    pub aim: Secs,
+    pub worth: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Connections that all balancers together may hold within the tenant's share.
+    pub quota: Option<f64>,
+}
+
+/// The values a load report can hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Field {
+    Load,
+    Connections,
+    Queue,
+    Utilisation,
+    Errors,
+}
+
+/// What the balancer is told at its start, and the only thing it may act on besides events.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub fleet_size: usize,
+    pub zone: Option<usize>,
+    pub classes: Vec<Class>,
+    pub tenants: Vec<Tenant>,
+    pub report_fields: Vec<Field>,
+    pub connect_timeout: Secs,
+    pub max_attempts: usize,
+    pub max_retry_after: Secs,
+    pub may_retry_after: bool,
+    pub may_probe: bool,
+    pub may_cancel: bool,
+    /// The server list comes only when asked for.
+    pub must_ask: bool,
+    pub ask_within: Secs,
+    pub cold_from: f64,
+    pub cold_for: Secs,
+    pub fall_multiple: f64,
+    pub fall_for: Secs,
+    /// Connections of one group share work on a server.
+    pub groups: bool,
+    /// What is lost per request that crosses zones, per connection moved, and per worth over share.
+    pub price_cross_zone: f64,
+    pub price_move: f64,
+    pub over_share_worth: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Up,
+    Draining,
+    Gone,
+}
+
+/// One line of the server list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub server: ServerId,
+    pub status: Status,
+    pub zone: Option<usize>,
+    pub kind: Option<usize>,
+    pub cell: u64,
+    /// When the process last started, unless that is long ago.
+    pub born: Option<Secs>,
+    pub weight: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only the entries that changed.
+    Update,
+    /// The whole list.
+    Replace,
+    /// The whole list as it was last known, possibly stale.
+    Restored,
+    /// A call for the list failed or the subscription was dropped.
+    Unavailable,
+}
+
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: RequestId,
+    pub class: usize,
+    pub tenant: Option<usize>,
+    /// A stable hash of the group's name.
+    pub group: Option<u64>,
+    /// Expected load in seconds of work a second, where the site gives it.
+    pub hint: Option<f64>,
+    /// Time until the client stops waiting.
+    pub patience: Secs,
+}
+
+/// A server's own word on its load; each value is absent where the site does not report it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Load asked over what the server can do.
+    pub load: Option<f64>,
+    pub connections: Option<f64>,
+    pub queue: Option<f64>,
+    pub utilisation: Option<f64>,
+    /// Errors a second.
+    pub errors: Option<f64>,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether the attempt is known never to have run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The balancer has come to life; a `Servers` event follows.
+    Start,
+    Servers {
+        kind: ListKind,
+        entries: Vec<Entry>,
+    },
+    Request(Request),
+    /// A connection that is already open on `server` at the balancer's start.
+    Open {
+        request: Request,
+        server: ServerId,
+    },
+    /// The connection is up; time-out and deadline stop.
+    Begun {
+        id: RequestId,
+        server: ServerId,
+    },
+    Outcome {
+        id: RequestId,
+        server: ServerId,
+        attempt: usize,
+        outcome: Outcome,
+        /// The request is finished; nothing is owed for it.
+        last: bool,
+        report: Report,
+    },
+    /// The client left; nothing is owed any more.
+    Gone(RequestId),
+    /// The connection's load now, in seconds of work a second.
+    LoadNote {
+        id: RequestId,
+        load: f64,
+    },
+    /// How long a message takes at the connection's server now.
+    DelayNote {
+        server: ServerId,
+        delay: Secs,
+    },
+    Probed {
+        server: ServerId,
+        outcome: Outcome,
+        report: Report,
+    },
+    Timer(u64),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Send {
+        id: RequestId,
+        server: ServerId,
+        timeout: Secs,
+    },
+    /// Final: turned away, harmless to repeat.
+    Refuse {
+        id: RequestId,
+        retry_after: Option<Secs>,
+    },
+    /// Final: failed, without a promise.
+    Fail {
+        id: RequestId,
+    },
+    /// Close an open connection politely; its client comes again.
+    Move {
+        id: RequestId,
+    },
+    Cancel {
+        id: RequestId,
+        attempt: usize,
+    },
+    Probe {
+        server: ServerId,
+    },
+    /// Ask for the server list and its changes from now on.
+    Subscribe,
+    Timer {
+        after: Secs,
+        token: u64,
+    },
+}
--- /dev/null
+++ b/crates/balancer/src/lib.rs
@@ -0,0 +1,10 @@
+//! The decisions of the violetwind balancer.
+//!
+//! The library does no input or output and reads no clock: a host feeds events to
+//! [`Balancer::handle`] with the present time and carries out the actions that come back.
+//! The same settings, seed and events always give the same actions.
+
+pub mod api;
+pub mod policy;
+
+pub use policy::Balancer;
--- /dev/null
+++ b/crates/simhost/src/host.rs
@@ -0,0 +1,209 @@
+//! Reads batches of events, hands them to the instances they are for, and writes the replies.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{self, BufRead, Write};
+use std::panic::{self, AssertUnwindSafe};
+
+use violetwind_balancer::Balancer;
+use violetwind_balancer::api::{Action, Event, Secs};
+
+use crate::codec::{self, Fields, Message, Names, Row};
+
+/// Why the host stopped before the end of its input.
+#[derive(Debug)]
+pub enum Error {
+    Malformed { line: usize, what: String },
+    Io(io::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed { line, what } => write!(f, "line {line}: {what}"),
+            Self::Io(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<io::Error> for Error {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+struct Instance {
+    balancer: Balancer,
+    names: Names,
+}
+
+#[derive(Default)]
+struct Host {
+    instances: BTreeMap<u64, Instance>,
+    /// The numbered server lists, shared by all instances of the process.
+    lists: BTreeMap<u64, Vec<Row>>,
+    /// The list being read and how many of its rows are still to come.
+    reading: Option<(u64, u64)>,
+    now: Option<Secs>,
+    current: Option<u64>,
+    replies: Vec<Reply>,
+}
+
+struct Reply {
+    instance: u64,
+    actions: Vec<Action>,
+    panic: Option<String>,
+}
+
+/// Serves the wire until the end of input.
+pub fn run(input: impl BufRead, mut output: impl Write) -> Result<(), Error> {
+    let mut host = Host::default();
+    let mut number = 0;
+    for line in input.lines() {
+        let line = line?;
+        number += 1;
+        let done = host
+            .line(&line)
+            .map_err(|what| Error::Malformed { line: number, what })?;
+        if done {
+            host.reply(&mut output)?;
+        }
+    }
+    if host.now.is_some() {
+        let what = "input ends within a batch; expected EOB".to_string();
+        return Err(Error::Malformed { line: number, what });
+    }
+    Ok(())
+}
+
+impl Host {
+    /// Takes one line; true at the end of a batch.
+    fn line(&mut self, line: &str) -> Result<bool, String> {
+        if line.is_empty() {
+            return Ok(false);
+        }
+        let (name, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let fields = Fields::parse(rest)?;
+        if let Some((list, left)) = self.reading {
+            if name != "SERVER" {
+                return Err(format!("{name}: expected {left} more SERVER lines"));
+            }
+            self.lists
+                .entry(list)
+                .or_default()
+                .push(codec::row(&fields)?);
+            self.reading = (left > 1).then(|| (list, left - 1));
+            return Ok(false);
+        }
+        if name == "FRAME" {
+            if self.now.is_some() {
+                return Err("FRAME within a batch; expected EOB".into());
+            }
+            self.now = Some(fields.secs("clock-s")?);
+            self.current = None;
+            return Ok(false);
+        }
+        let Some(now) = self.now else {
+            return Err(format!("{name} outside a batch; expected FRAME"));
+        };
+        match name {
+            "EOB" => {
+                self.now = None;
+                return Ok(true);
+            }
+            "INSTANCE" => self.current = Some(fields.int("proxy-id")?),
+            "SNAPSHOT_ROWS" => {
+                let (list, rows) = (fields.int("ref")?, fields.int("records")?);
+                self.lists.insert(list, Vec::new());
+                self.reading = (rows > 0).then_some((list, rows));
+            }
+            _ => {
+                let id = self
+                    .current
+                    .ok_or_else(|| format!("{name}: expected an INSTANCE line before it"))?;
+                self.event(now, id, name, &fields)?;
+            }
+        }
+        Ok(false)
+    }
+
+    fn event(&mut self, now: Secs, id: u64, name: &str, fields: &Fields) -> Result<(), String> {
+        match name {
+            "LAUNCH" => {
+                let (settings, names) = codec::settings(fields)?;
+                let balancer = Balancer::new(settings, fields.int("random-seed")?);
+                self.instances.insert(id, Instance { balancer, names });
+                self.hand(now, id, Event::Start);
+            }
+            "DOWN" => {
+                self.instances.remove(&id);
+                // What the killed instance has just said names requests that are void now.
+                self.replies.retain(|reply| reply.instance != id);
+            }
+            _ => {
+                let Some(instance) = self.instances.get_mut(&id) else {
+                    return Err(format!(
+                        "{name}: expected LAUNCH of instance {id} before it"
+                    ));
+                };
+                match codec::event(name, fields, &mut instance.names, &self.lists)? {
+                    Message::Event(event) => self.hand(now, id, event),
+                    Message::Nothing => {}
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn hand(&mut self, now: Secs, id: u64, event: Event) {
+        let Some(instance) = self.instances.get_mut(&id) else {
+            return;
+        };
+        let at = self
+            .replies
+            .iter()
+            .position(|reply| reply.instance == id)
+            .unwrap_or_else(|| {
+                self.replies.push(Reply {
+                    instance: id,
+                    actions: Vec::new(),
+                    panic: None,
+                });
+                self.replies.len() - 1
+            });
+        let reply = &mut self.replies[at];
+        if reply.panic.is_some() {
+            return;
+        }
+        let handle = || instance.balancer.handle(now, event, &mut reply.actions);
+        if let Err(payload) = panic::catch_unwind(AssertUnwindSafe(handle)) {
+            reply.panic = Some(panic_text(payload.as_ref()));
+        }
+    }
+
+    fn reply(&mut self, output: &mut impl Write) -> io::Result<()> {
+        for reply in self.replies.drain(..) {
+            if reply.actions.is_empty() && reply.panic.is_none() {
+                continue;
+            }
+            writeln!(output, "FROM proxy-id={}", reply.instance)?;
+            for action in &reply.actions {
+                codec::write_action(output, action)?;
+            }
+            if let Some(text) = reply.panic {
+                codec::write_fault(output, &text)?;
+            }
+        }
+        writeln!(output, "READY")?;
+        output.flush()
+    }
+}
+
+fn panic_text(payload: &(dyn std::any::Any + Send)) -> String {
+    let text = payload.downcast_ref::<String>().map(String::as_str);
+    text.or_else(|| payload.downcast_ref::<&str>().copied())
+        .unwrap_or("panic")
+        .to_string()
+}
--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,18 @@
+use std::io::{self, BufReader, BufWriter};
+use std::process::ExitCode;
+
+use violetwind_simhost::host;
+
+fn main() -> ExitCode {
+    // A panic is told on the wire; its place goes to standard error by the default hook.
+    match host::run(
+        BufReader::new(io::stdin().lock()),
+        BufWriter::new(io::stdout().lock()),
+    ) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("violetwind-simhost: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
