Load after placement with group and zone cost, adaptive throttling, admission limit

Cause: attempts per request of 20 to 370 while every server errs: the shared store and full servers were hammered; placements ignored speed and groups.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -5,6 +5,7 @@
 //! The same settings, seed and events always give the same actions.
 
 pub mod api;
+mod fading;
 pub mod policy;
 
 pub use policy::Balancer;
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -8,56 +8,74 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::api::{
-    Action, Effect, Entry, Event, Field, ListKind, Outcome, Report, Request, RequestId, Scope,
-    Secs, ServerId, Settings, Status,
-};
+use crate::api::*;
+use crate::fading::Fading;
 
 /// Load over capacity beyond which a connection is moved off a server.
 const THRESHOLD: f64 = 0.85;
 /// Where only connection counts are known: the count over the servers' mean that triggers a move.
 const COUNT_TRIGGER: f64 = 1.3;
+/// Load over capacity beyond which no server is given more.
+const ADMIT: f64 = 1.0;
 /// Time between two probes of a server.
-const PROBE_EVERY: Secs = 2.0;
+const PROBE_EVERY: Secs = 1.0;
+/// A report may show the state of so long ago; own placements since then are added to it.
+const REPORT_AGE: Secs = 1.0;
+/// Load that a price of one for a zone crossing is worth.
+const CROSS_LOAD: f64 = 3.0;
+/// Connections' worth of load that a group is taken to cost on each server that holds any of it.
+const GROUP_COST: f64 = 2.0;
 /// Time constant of what is learned from this balancer's own traffic.
 const MEMORY: Secs = 15.0;
-/// A failing server's penalty halves in this time, so that it is tried again.
+/// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
+/// Sends per success beyond which the service as a whole is taken to be failing.
+const TOLERATED: f64 = 2.0;
 /// How often requests that found no server are tried again.
-const HELD_EVERY: Secs = 0.05;
+const WAIT_EVERY: Secs = 0.05;
 /// Ranks a server that does not answer behind all that do.
 const SUSPECT: f64 = 100.0;
 
 const TIMER_ASK: u64 = 0;
-const TIMER_HELD: u64 = 1;
+const TIMER_WAIT: u64 = 1;
 /// Probe timers carry the server's id above this.
 const TIMER_PROBE: u64 = 1 << 32;
 
 #[derive(Debug, Default)]
 struct Server {
-    status: Option<Status>,
-    zone: Option<usize>,
-    cell: u64,
-    born: Option<Secs>,
+    /// The list's latest word on it.
+    entry: Option<Entry>,
     /// The probed figure in the design's metric order, once heard.
     figure: Option<f64>,
-    /// Own placements that the figure cannot hold yet: when, and by how many mean connections.
-    placed: Vec<(Secs, f64)>,
-    /// Own connections and attempts, and their load in mean connections.
+    /// Changes of own load that the figure may not hold yet.
+    pending: Vec<(Secs, f64)>,
+    /// Own connections and attempts, their load, and how many of them are of each group.
     own: BTreeSet<RequestId>,
+    load: f64,
+    groups: BTreeMap<u64, usize>,
     /// It answered neither a probe nor a connect since it last did.
     suspect: bool,
-    /// Recent failures of attempts, halved every `FORGIVE`.
-    errors: f64,
-    errors_at: Secs,
+    errors: Fading,
     /// When a cold server may get its next connection.
     cold_until: Secs,
     probing: bool,
 }
 
+impl Server {
+    fn up(&self) -> bool {
+        self.entry
+            .as_ref()
+            .is_some_and(|entry| entry.status == Status::Up)
+    }
+
+    fn kind(&self) -> Option<usize> {
+        self.entry.as_ref().and_then(|entry| entry.kind)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    Held,
+    Waiting,
     Out(ServerId),
     Open(ServerId),
 }
@@ -67,13 +85,12 @@
     request: Request,
     deadline: Secs,
     phase: Phase,
-    attempts: usize,
     sent_at: Secs,
     tried: Vec<ServerId>,
     /// The first attempt that may have run: where and when it was sent.
     may_have_run: Option<(ServerId, Secs)>,
-    /// The connection's load as last told, in seconds of work a second.
-    load: Option<f64>,
+    /// Its load in seconds of work a second: as last told, or else as usual for its class.
+    load: f64,
 }
 
 #[derive(Debug)]
@@ -82,29 +99,42 @@
     rng: Pcg64Mcg,
     now: Secs,
     servers: BTreeMap<ServerId, Server>,
-    requests: BTreeMap<RequestId, Conn>,
+    conns: BTreeMap<RequestId, Conn>,
     waiting: BTreeSet<RequestId>,
-    held_timer: bool,
-    /// The call for the list that is out, or the answer that made the subscription stand.
+    wait_timer: bool,
     subscribed: bool,
-    /// Own placements a second.
-    rate: f64,
-    rate_at: Secs,
+    /// What one unit of load adds to the figure of a server of each kind, and of any.
+    units: BTreeMap<Option<usize>, f64>,
+    unit: f64,
+    mean_figure: f64,
+    /// Per class: loads told and their number.
+    loads: Vec<(Fading, Fading)>,
+    /// Per tenant: own connections.
+    tenants: Vec<usize>,
+    placed: Fading,
+    sends: Fading,
+    successes: Fading,
 }
 
 impl Balancer {
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    pub fn new(set: Settings, seed: u64) -> Self {
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            set: settings,
             now: 0.0,
             servers: BTreeMap::new(),
-            requests: BTreeMap::new(),
+            conns: BTreeMap::new(),
             waiting: BTreeSet::new(),
-            held_timer: false,
+            wait_timer: false,
             subscribed: false,
-            rate: 0.0,
-            rate_at: 0.0,
+            units: BTreeMap::new(),
+            unit: 1.0,
+            mean_figure: 0.0,
+            loads: vec![Default::default(); set.classes.len()],
+            tenants: vec![0; set.tenants.len()],
+            placed: Fading::default(),
+            sends: Fading::default(),
+            successes: Fading::default(),
+            set,
         }
     }
 
@@ -112,22 +142,23 @@
     pub fn handle(&mut self, now: Secs, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         match event {
-            Event::Start => self.rate_at = now,
+            Event::Start | Event::DelayNote { .. } => {}
             Event::Servers { kind, entries } => self.on_list(kind, entries, out),
             Event::Request(request) => {
                 let id = request.id;
-                self.adopt(request, Phase::Held);
+                self.adopt(request);
                 self.place(id, out);
             }
             Event::Open { request, server } => {
                 let id = request.id;
-                self.adopt(request, Phase::Open(server));
-                self.servers.entry(server).or_default().own.insert(id);
+                self.adopt(request);
+                self.join(id, server, Phase::Open(server));
             }
             Event::Begun { id, server } => {
-                if let Some(conn) = self.requests.get_mut(&id) {
+                self.successes.add(now, FORGIVE, 1.0);
+                if let Some(conn) = self.conns.get_mut(&id) {
                     conn.phase = Phase::Open(server);
-                    self.answered(server);
+                    self.server(server, |s| s.suspect = false);
                 }
             }
             Event::Outcome {
@@ -142,30 +173,36 @@
                 self.on_outcome(id, server, outcome, last, out);
             }
             Event::Gone(id) => {
-                if let Some(conn) = self.drop_request(id)
-                    && let Phase::Out(_) = conn.phase
+                let out_there = |conn: &Conn| matches!(conn.phase, Phase::Out(_));
+                if let Some(conn) = self.forget(id).filter(out_there)
                     && self.set.may_cancel
                 {
                     out.push(Action::Cancel {
                         id,
-                        attempt: conn.attempts - 1,
+                        attempt: conn.tried.len() - 1,
                     });
                 }
             }
-            Event::LoadNote { id, load } => {
-                if let Some(conn) = self.requests.get_mut(&id) {
-                    conn.load = Some(load);
-                }
-            }
-            Event::DelayNote { .. } => {}
+            Event::LoadNote { id, load } => self.on_load(id, load),
             Event::Probed {
                 server,
                 outcome,
                 report,
-            } => self.on_probed(server, outcome, report, out),
+            } => {
+                self.hear(server, report);
+                match outcome {
+                    Outcome::Ok => {
+                        self.server(server, |s| s.suspect = false);
+                        self.relieve(server, out);
+                    }
+                    // A server that turns probes away is alive.
+                    Outcome::Full | Outcome::Cancelled | Outcome::NotSent => {}
+                    _ => self.server(server, |s| s.suspect = true),
+                }
+            }
             Event::Timer(TIMER_ASK) => self.ask(out),
-            Event::Timer(TIMER_HELD) => {
-                self.held_timer = false;
+            Event::Timer(TIMER_WAIT) => {
+                self.wait_timer = false;
                 for id in std::mem::take(&mut self.waiting) {
                     self.place(id, out);
                 }
@@ -174,6 +211,10 @@
         }
     }
 
+    fn server(&mut self, id: ServerId, change: impl FnOnce(&mut Server)) {
+        self.servers.get_mut(&id).map(change);
+    }
+
     // The server list.
 
     fn on_list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
@@ -194,34 +235,36 @@
                 .iter_mut()
                 .filter(|(id, _)| !listed.contains(id))
             {
-                server.status = Some(Status::Gone);
+                server
+                    .entry
+                    .iter_mut()
+                    .for_each(|entry| entry.status = Status::Gone);
             }
         }
         for entry in entries {
-            let server = self.servers.entry(entry.server).or_default();
-            if server.born != entry.born && server.status.is_some() {
-                // A restarted process: what is known of the old one no longer holds.
-                *server = Server {
-                    own: std::mem::take(&mut server.own),
-                    probing: server.probing,
-                    ..Server::default()
-                };
+            let id = entry.server;
+            let server = self.servers.entry(id).or_default();
+            let restarted = server
+                .entry
+                .as_ref()
+                .is_some_and(|old| old.born != entry.born);
+            if restarted {
+                // What is known of the old process no longer holds.
+                (server.figure, server.suspect, server.errors) = Default::default();
             }
-            server.status = Some(entry.status);
-            server.zone = entry.zone;
-            server.cell = entry.cell;
-            server.born = entry.born;
-            let age = self.now - entry.born.unwrap_or(f64::NEG_INFINITY);
-            if age < self.set.cold_for && server.figure.is_none() {
+            if (restarted || server.entry.is_none()) && self.now < cold_end(&entry, &self.set) {
                 // Proxies hear of a cold server together: their first connections are spread out.
                 server.cold_until = self.now + self.rng.random_range(0.0..self.set.fall_for);
             }
-            if entry.status == Status::Up && !server.probing && self.set.may_probe {
+            let up = entry.status == Status::Up;
+            server.entry = Some(entry);
+            if up && !server.probing && self.set.may_probe {
                 server.probing = true;
-                let after = self.rng.random_range(0.0..0.2 * PROBE_EVERY);
+                out.push(Action::Probe { server: id });
+                let after = self.rng.random_range(0.0..PROBE_EVERY);
                 out.push(Action::Timer {
                     after,
-                    token: TIMER_PROBE + u64::from(entry.server),
+                    token: TIMER_PROBE + u64::from(id),
                 });
             }
         }
@@ -244,7 +287,7 @@
         let Some(server) = self.servers.get_mut(&id) else {
             return;
         };
-        server.probing = server.status == Some(Status::Up);
+        server.probing = server.up();
         if server.probing {
             out.push(Action::Probe { server: id });
             let after = PROBE_EVERY * self.rng.random_range(0.9..1.1);
@@ -252,76 +295,149 @@
         }
     }
 
-    fn on_probed(&mut self, id: ServerId, outcome: Outcome, report: Report, out: &mut Vec<Action>) {
-        self.hear(id, report);
-        match outcome {
-            Outcome::Ok => {
-                if let Some(server) = self.servers.get_mut(&id) {
-                    server.suspect = false;
-                }
-                self.relieve(id, out);
-            }
-            // A server that turns probes away is alive.
-            Outcome::Full | Outcome::Cancelled | Outcome::NotSent => {}
-            _ => self.mark_suspect(id),
-        }
-    }
-
     /// Takes the figure of a report, in the design's metric order.
     fn hear(&mut self, id: ServerId, report: Report) {
         let figure = report.load.or(report.connections).or(report.queue);
         // A figure that is no number, negative or infinite says nothing.
-        if let Some(figure) = figure.filter(|f| f.is_finite() && *f >= 0.0)
-            && let Some(server) = self.servers.get_mut(&id)
-        {
-            server.figure = Some(figure);
-            server.placed.clear();
+        if let Some(figure) = figure.filter(|f| f.is_finite() && *f >= 0.0) {
+            let held_since = self.now - REPORT_AGE;
+            self.server(id, |server| {
+                server.figure = Some(figure);
+                server.pending.retain(|(at, _)| *at > held_since);
+            });
+            self.learn_units();
         }
     }
 
-    fn answered(&mut self, id: ServerId) {
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.suspect = false;
+    /// Learns what a unit of load adds to a figure: servers of a kind are alike, and this
+    /// balancer carries its part of the fleet's load. Own load alone is too little on one server.
+    fn learn_units(&mut self) {
+        let mut sums: BTreeMap<Option<usize>, (f64, f64)> = BTreeMap::new();
+        let (mut figures, mut load, mut heard) = (0.0, 0.0, 0.0);
+        for server in self.servers.values().filter(|s| s.up()) {
+            let Some(figure) = server.figure else {
+                continue;
+            };
+            let sum = sums.entry(server.kind()).or_default();
+            *sum = (sum.0 + figure, sum.1 + server.load);
+            (figures, load, heard) = (figures + figure, load + server.load, heard + 1.0);
         }
-    }
-
-    fn mark_suspect(&mut self, id: ServerId) {
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.suspect = true;
+        if heard > 0.0 {
+            self.mean_figure = figures / heard;
+        }
+        let fleet = self.set.fleet_size as f64;
+        let unit = |figure: f64, load: f64| (load > 0.0).then(|| figure / load / fleet);
+        self.unit = unit(figures, load).unwrap_or(self.unit);
+        self.units.clear();
+        for (kind, (figure, load)) in sums {
+            self.units
+                .extend(unit(figure, load).map(|unit| (kind, unit)));
         }
     }
 
     // Requests.
 
-    fn adopt(&mut self, request: Request, phase: Phase) {
+    fn adopt(&mut self, request: Request) {
+        if let Some(tenant) = request.tenant {
+            self.tenants[tenant] += 1;
+        }
         let conn = Conn {
             deadline: self.now + request.patience,
-            phase,
-            attempts: usize::from(phase != Phase::Held),
+            phase: Phase::Waiting,
             sent_at: self.now,
             tried: Vec::new(),
             may_have_run: None,
-            load: request.hint,
+            load: request
+                .hint
+                .unwrap_or_else(|| self.class_load(request.class)),
             request,
         };
-        self.requests.insert(conn.request.id, conn);
+        self.conns.insert(conn.request.id, conn);
     }
 
-    fn drop_request(&mut self, id: RequestId) -> Option<Conn> {
-        let conn = self.requests.remove(&id)?;
-        self.waiting.remove(&id);
+    /// The usual load of a class, or of all where none of it has been told.
+    fn class_load(&self, class: usize) -> f64 {
+        let sum = |loads: &[(Fading, Fading)]| {
+            let get = |fading: &Fading| fading.get(self.now, MEMORY);
+            loads
+                .iter()
+                .fold((0.0, 0.0), |(sum, n), (l, c)| (sum + get(l), n + get(c)))
+        };
+        let (told, number) = sum(&self.loads[class..=class]);
+        let (all, all_number) = sum(&self.loads);
+        let usual = if all_number > 0.0 {
+            all / all_number
+        } else {
+            1.0
+        };
+        (told + usual) / (number + 1.0)
+    }
+
+    fn on_load(&mut self, id: RequestId, load: f64) {
+        let Some(conn) = self
+            .conns
+            .get_mut(&id)
+            .filter(|_| load.is_finite() && load >= 0.0)
+        else {
+            return;
+        };
+        let change = load - conn.load;
+        conn.load = load;
+        let (sum, number) = &mut self.loads[conn.request.class];
+        sum.add(self.now, MEMORY, load);
+        number.add(self.now, MEMORY, 1.0);
         if let Phase::Out(server) | Phase::Open(server) = conn.phase {
-            self.leave(server, id);
+            self.server(server, |server| server.load += change);
         }
-        Some(conn)
     }
 
-    fn leave(&mut self, server: ServerId, id: RequestId) {
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.own.remove(&id);
+    fn join(&mut self, id: RequestId, to: ServerId, phase: Phase) {
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return;
+        };
+        conn.phase = phase;
+        conn.sent_at = self.now;
+        conn.tried.push(to);
+        let server = self.servers.entry(to).or_default();
+        server.own.insert(id);
+        server.load += conn.load;
+        if let Some(group) = conn.request.group {
+            *server.groups.entry(group).or_default() += 1;
         }
     }
 
+    fn leave(&mut self, id: RequestId) {
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return;
+        };
+        let (Phase::Out(from) | Phase::Open(from)) = conn.phase else {
+            return;
+        };
+        conn.phase = Phase::Waiting;
+        let server = self.servers.get_mut(&from).expect("joined before");
+        server.own.remove(&id);
+        server.load = (server.load - conn.load).max(0.0);
+        server.pending.push((self.now, -conn.load));
+        if let Some(group) = conn.request.group {
+            let left = server.groups.get_mut(&group).expect("joined before");
+            *left -= 1;
+            if *left == 0 {
+                server.groups.remove(&group);
+            }
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) -> Option<Conn> {
+        let phase = self.conns.get(&id)?.phase;
+        self.leave(id);
+        self.waiting.remove(&id);
+        let conn = self.conns.remove(&id)?;
+        if let Some(tenant) = conn.request.tenant {
+            self.tenants[tenant] -= 1;
+        }
+        Some(Conn { phase, ..conn })
+    }
+
     fn on_outcome(
         &mut self,
         id: RequestId,
@@ -330,218 +446,213 @@
         last: bool,
         out: &mut Vec<Action>,
     ) {
-        let Some(conn) = self.requests.get_mut(&id) else {
+        let Some(conn) = self.conns.get_mut(&id) else {
             return;
         };
-        let out_there = conn.phase == Phase::Out(server);
-        if out_there && !outcome.never_ran() && conn.may_have_run.is_none() {
-            conn.may_have_run = Some((server, conn.sent_at));
+        let was_out = conn.phase == Phase::Out(server);
+        if was_out && !outcome.never_ran() {
+            conn.may_have_run.get_or_insert((server, conn.sent_at));
         }
         match outcome {
-            Outcome::ConnectFailed => self.mark_suspect(server),
-            Outcome::Error | Outcome::Full | Outcome::TimedOut | Outcome::Reset if out_there => {
-                self.count_error(server);
+            Outcome::ConnectFailed => self.server(server, |s| s.suspect = true),
+            Outcome::Error | Outcome::Full | Outcome::TimedOut | Outcome::Reset if was_out => {
+                let now = self.now;
+                self.server(server, |s| s.errors.add(now, FORGIVE, 1.0));
             }
             _ => {}
         }
         if last {
-            self.drop_request(id);
-        } else if out_there {
-            self.leave(server, id);
-            let conn = self.requests.get_mut(&id).expect("looked up above");
-            conn.phase = Phase::Held;
-            conn.tried.push(server);
+            self.forget(id);
+        } else if was_out {
+            self.leave(id);
             self.place(id, out);
         }
     }
 
-    fn count_error(&mut self, id: ServerId) {
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.errors = 1.0 + server.errors * (-(self.now - server.errors_at) / FORGIVE).exp2();
-            server.errors_at = self.now;
-        }
-    }
-
-    /// Sends a held request to the lowest-ranked server it may go to, holds it while only a cold
-    /// server's cap stands in the way, and else answers it at once.
+    /// Sends a request to the lowest-ranked server it may go to, lets it wait while none is open
+    /// to it, and else answers it at once.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(conn) = self.requests.get(&id) else {
+        let Some(conn) = self.conns.get(&id) else {
             return;
         };
         let left = conn.deadline - self.now;
         let aim = self.set.classes[conn.request.class].aim;
-        let attempts = conn.attempts;
-        if left <= 0.0 || attempts >= self.set.max_attempts {
+        let attempts = conn.tried.len();
+        if left <= 0.0 || attempts >= self.set.max_attempts || self.throttled() {
             return self.give_up(id, out);
         }
-        let Some(target) = self.choose(id) else {
-            // Nothing can take it now; wait a little in case a server turns up.
-            if attempts == 0 && left > aim {
-                self.waiting.insert(id);
-                if !self.held_timer {
-                    self.held_timer = true;
-                    out.push(Action::Timer {
-                        after: HELD_EVERY,
-                        token: TIMER_HELD,
-                    });
-                }
-                return;
+        let Some((to, after)) = self.choose(id) else {
+            // A restarted or wholly cold fleet: a server may turn up soon.
+            if attempts > 0 || left <= aim {
+                return self.give_up(id, out);
             }
-            return self.give_up(id, out);
+            self.waiting.insert(id);
+            if !self.wait_timer {
+                self.wait_timer = true;
+                out.push(Action::Timer {
+                    after: WAIT_EVERY,
+                    token: TIMER_WAIT,
+                });
+            }
+            return;
         };
-        let timeout = left.min(aim.max(left / 2.0));
-        let weight = self.per_connection(target);
-        let gap = self.cold_gap(&self.servers[&target]);
-        let decay = (-(self.now - self.rate_at) / MEMORY).exp();
-        self.rate = self.rate * decay + 1.0 / MEMORY;
-        self.rate_at = self.now;
-        let server = self.servers.get_mut(&target).expect("chosen from the map");
-        server.own.insert(id);
-        server.placed.push((self.now, weight));
-        server.cold_until = self.now + gap.unwrap_or(0.0);
-        let conn = self.requests.get_mut(&id).expect("looked up above");
-        conn.phase = Phase::Out(target);
-        conn.attempts += 1;
-        conn.sent_at = self.now;
+        if after > self.limit(id) {
+            return self.give_up(id, out);
+        }
+        self.sends.add(self.now, FORGIVE, 1.0);
+        self.placed.add(self.now, MEMORY, 1.0);
+        let gap = self.cold_gap(&self.servers[&to]);
+        let load = self.added_load(&self.conns[&id], &self.servers[&to]);
+        self.join(id, to, Phase::Out(to));
+        let now = self.now;
+        self.server(to, |server| {
+            server.pending.push((now, load));
+            server.cold_until = now + gap;
+        });
         out.push(Action::Send {
             id,
-            server: target,
-            timeout,
+            server: to,
+            timeout: left.min(aim.max(left / 2.0)),
         });
     }
 
+    /// When far more is sent than begins, whatever the server, what they share is failing, such as
+    /// the store that set-up needs: sending more keeps it down (adaptive throttling).
+    fn throttled(&mut self) -> bool {
+        let sends = self.sends.get(self.now, FORGIVE);
+        let successes = self.successes.get(self.now, FORGIVE);
+        let excess = (sends - TOLERATED * successes - 5.0) / (sends + 1.0);
+        self.rng.random::<f64>() < excess
+    }
+
+    /// The load over capacity up to which a server may be filled with this request.
+    fn limit(&self, id: RequestId) -> f64 {
+        if !self.set.report_fields.contains(&Field::Load) {
+            return f64::INFINITY;
+        }
+        let over = self.conns[&id].request.tenant.is_some_and(|tenant| {
+            let quota = self.set.tenants[tenant].quota.unwrap_or(f64::INFINITY);
+            self.tenants[tenant] as f64 > quota / self.set.fleet_size as f64
+        });
+        // What a tenant sends beyond its share goes first when room gets short.
+        if over { THRESHOLD } else { ADMIT }
+    }
+
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(conn) = self.drop_request(id) else {
+        let Some(conn) = self.forget(id) else {
             return;
         };
         let class = &self.set.classes[conn.request.class];
+        let ran = conn.may_have_run.is_some();
+        let keyed_for_all = class.effect == Effect::Keyed && class.scope == Scope::All;
         // A refusal promises that a repeat is harmless.
-        let harmless = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => conn.may_have_run.is_none() || class.scope == Scope::All,
-            Effect::Unsafe => conn.may_have_run.is_none(),
-        };
-        out.push(if harmless {
-            let retry_after = self
-                .set
-                .may_retry_after
-                .then_some(self.set.max_retry_after / 2.0);
-            Action::Refuse { id, retry_after }
+        if !ran || class.effect == Effect::Safe || keyed_for_all {
+            let wait = self.set.max_retry_after * self.rng.random_range(0.5..1.0);
+            out.push(Action::Refuse {
+                id,
+                retry_after: self.set.may_retry_after.then_some(wait),
+            });
         } else {
-            Action::Fail { id }
-        });
+            out.push(Action::Fail { id });
+        }
     }
 
     /// Whether another attempt on `server` could do no harm by running twice.
-    fn harmless(&self, conn: &Conn, server: &Server) -> bool {
+    fn harmless(&self, conn: &Conn, server: &Entry) -> bool {
         let class = &self.set.classes[conn.request.class];
         let Some((first, at)) = conn.may_have_run else {
             return true;
         };
-        let Some(first) = self.servers.get(&first) else {
-            return false;
+        let Some(first) = self.servers.get(&first).and_then(|s| s.entry.as_ref()) else {
+            return class.effect == Effect::Safe;
         };
-        match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed => {
-                self.now < at + class.window
-                    && match class.scope {
-                        Scope::All => true,
-                        Scope::Zone => server.zone == first.zone,
-                        Scope::Cell => server.cell == first.cell,
-                    }
-            }
-        }
+        let together = match class.scope {
+            Scope::All => true,
+            Scope::Zone => server.zone == first.zone,
+            Scope::Cell => server.cell == first.cell,
+        };
+        class.effect == Effect::Safe
+            || class.effect == Effect::Keyed && together && self.now < at + class.window
     }
 
     // Ranking.
 
-    /// The lowest-ranked server the request may go to, ties broken at random.
-    fn choose(&mut self, id: RequestId) -> Option<ServerId> {
-        let conn = &self.requests[&id];
-        let mean = self.mean_figure();
-        let mut best = f64::INFINITY;
-        let mut ties = Vec::new();
+    /// The lowest-ranked server the request may go to and its load then. Near-equals are drawn
+    /// from at random, since other proxies see the same lowest one.
+    fn choose(&mut self, id: RequestId) -> Option<(ServerId, f64)> {
+        let conn = &self.conns[&id];
+        let mut ranked: Vec<(f64, ServerId, f64)> = Vec::new();
         for (&server_id, server) in &self.servers {
-            let closed = server.status != Some(Status::Up) || self.now < server.cold_until;
-            if closed || conn.tried.contains(&server_id) || !self.harmless(conn, server) {
+            let Some(entry) = server.entry.as_ref().filter(|_| self.open(server)) else {
                 continue;
-            }
-            let rank = self.rank(server, mean);
-            if rank < best {
-                best = rank;
-                ties.clear();
-            }
-            if rank == best {
-                ties.push(server_id);
+            };
+            if !conn.tried.contains(&server_id) && self.harmless(conn, entry) {
+                let after = self.load_after(conn, server);
+                ranked.push((after + self.surcharge(server, entry), server_id, after));
             }
         }
-        ties.get(self.rng.random_range(0..ties.len().max(1)))
-            .copied()
+        let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
+        let near = best + self.unit * conn.load * (self.set.fleet_size - 1) as f64 / 2.0;
+        ranked.retain(|r| r.0 <= near);
+        let pick = self.rng.random_range(0..ranked.len().max(1));
+        ranked.get(pick).map(|r| (r.1, r.2))
     }
 
-    /// Load as far as it is known: the probed figure and own placements since, worsened by failures.
-    fn rank(&self, server: &Server, mean: f64) -> f64 {
-        let placed: f64 = server.placed.iter().map(|(_, weight)| weight).sum();
-        let errors = server.errors * (-(self.now - server.errors_at) / FORGIVE).exp2();
-        let suspect = if server.suspect { SUSPECT } else { 0.0 };
-        server.figure.unwrap_or(mean) + placed + errors + suspect
+    fn open(&self, server: &Server) -> bool {
+        server.up() && self.now >= server.cold_until
     }
 
-    /// A server not yet heard from counts at the others' mean.
-    fn mean_figure(&self) -> f64 {
-        let heard = || {
-            self.servers
-                .values()
-                .filter(|s| s.status == Some(Status::Up))
-                .filter_map(|s| s.figure)
-        };
-        heard().sum::<f64>() / heard().count().max(1) as f64
+    /// The probed figure, own changes since (and as many by each peer), and what the request adds.
+    fn load_after(&self, conn: &Conn, server: &Server) -> f64 {
+        let unit = *self.units.get(&server.kind()).unwrap_or(&self.unit);
+        let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
+        let known = server.figure.unwrap_or(self.mean_figure);
+        let now = known + pending * unit * self.set.fleet_size as f64;
+        now.max(0.0) + self.added_load(conn, server) * unit
     }
 
-    /// What one more connection adds to a server's figure: its figure per connection, or the others' mean.
-    fn per_connection(&self, id: ServerId) -> f64 {
-        let per = |s: &Server| {
-            s.figure
-                .filter(|f| *f > 0.0 && !s.own.is_empty())
-                .map(|f| f / s.own.len() as f64)
-        };
-        if let Some(known) = self.servers.get(&id).and_then(per) {
-            return known;
-        }
-        let up = || {
-            self.servers
-                .values()
-                .filter(|s| s.status == Some(Status::Up))
-                .filter_map(per)
-        };
-        let known = up().count();
-        if known == 0 {
-            1.0
+    /// A connection's own load, and its group's where the server holds none of it.
+    fn added_load(&self, conn: &Conn, server: &Server) -> f64 {
+        let group = conn
+            .request
+            .group
+            .filter(|g| self.set.groups && !server.groups.contains_key(g));
+        conn.load + group.map_or(0.0, |_| GROUP_COST * self.unit_load())
+    }
+
+    fn unit_load(&self) -> f64 {
+        let own: usize = self.servers.values().map(|s| s.own.len()).sum();
+        self.servers.values().map(|s| s.load).sum::<f64>() / own.max(1) as f64
+    }
+
+    /// What else counts against a server: failures, silence, and the price of another zone.
+    fn surcharge(&self, server: &Server, entry: &Entry) -> f64 {
+        let crosses = entry.zone.is_some() && entry.zone != self.set.zone;
+        let cross = if crosses {
+            CROSS_LOAD * self.set.price_cross_zone
         } else {
-            up().sum::<f64>() / known as f64
-        }
+            0.0
+        };
+        let suspect = if server.suspect { SUSPECT } else { 0.0 };
+        cross + suspect + server.errors.get(self.now, FORGIVE)
     }
 
-    /// The least time between two connections to a server that is cold, from what warm ones take.
-    fn cold_gap(&self, server: &Server) -> Option<Secs> {
-        let age = self.now - server.born.filter(|born| *born > 0.0)?;
-        if age >= self.set.cold_for {
-            return None;
-        }
-        let share =
-            self.set.cold_from + (1.0 - self.set.cold_from) * age.max(0.0) / self.set.cold_for;
-        let up = self
-            .servers
-            .values()
-            .filter(|s| s.status == Some(Status::Up))
-            .count()
-            .max(1);
+    /// The least time between two connections to a cold server, from what warm ones take.
+    fn cold_gap(&self, server: &Server) -> Secs {
+        let Some(entry) = server
+            .entry
+            .as_ref()
+            .filter(|e| self.now < cold_end(e, &self.set))
+        else {
+            return 0.0;
+        };
+        let rest = (cold_end(entry, &self.set) - self.now) / self.set.cold_for;
+        let share = 1.0 - (1.0 - self.set.cold_from) * rest.min(1.0);
+        let up = self.servers.values().filter(|s| s.up()).count().max(1) as f64;
         // At its mean figure a warm server takes this many connections a second of this balancer.
-        let warm = self.rate / up as f64 / self.mean_figure().max(0.2);
+        let warm = self.placed.get(self.now, MEMORY) / MEMORY / up / self.mean_figure.max(0.2);
         let gap = 2.0 / (self.set.fall_multiple * share * warm);
-        Some(gap.clamp(self.set.fall_for / 4.0, self.set.cold_for / 2.0))
+        gap.clamp(self.set.fall_for / 4.0, self.set.cold_for / 2.0)
     }
 
     // Moves.
@@ -549,36 +660,43 @@
     /// Moves one connection off a server that its probe shows past the threshold.
     fn relieve(&mut self, id: ServerId, out: &mut Vec<Action>) {
         let by_load = self.set.report_fields.contains(&Field::Load);
-        let mean = self.mean_figure();
         let limit = if by_load {
             THRESHOLD
         } else {
-            COUNT_TRIGGER * mean
-        };
-        let Some(server) = self.servers.get(&id) else {
-            return;
+            COUNT_TRIGGER * self.mean_figure
         };
-        if server.figure.is_none_or(|figure| figure <= limit) || server.status != Some(Status::Up) {
+        let Some(server) = self.servers.get(&id).filter(|s| s.up()) else {
             return;
-        }
-        // Moving onto a server that would pass the threshold itself only spreads the trouble.
-        let room = self.servers.iter().any(|(&other, s)| {
-            let open = s.status == Some(Status::Up) && self.now >= s.cold_until;
-            other != id && open && self.rank(s, mean) + self.per_connection(other) < limit
-        });
-        let load = |conn: &RequestId| self.requests.get(conn).and_then(|c| c.load).unwrap_or(0.0);
-        let open = |conn: &&RequestId| {
-            self.requests
-                .get(conn)
-                .is_some_and(|c| c.phase == Phase::Open(id))
         };
+        let over = server.figure.map_or(0.0, |figure| figure - limit);
+        let open = |id: &&RequestId| matches!(self.conns[*id].phase, Phase::Open(_));
+        let load = |id: &RequestId| self.conns[id].load;
         let heaviest = server
             .own
             .iter()
             .filter(open)
-            .max_by(|a, b| load(a).total_cmp(&load(b)));
-        if let Some(&conn) = heaviest.filter(|_| room) {
-            out.push(Action::Move { id: conn });
+            .max_by(|a, b| load(a).total_cmp(&load(b)))
+            .copied();
+        let Some(moved) = heaviest.filter(|_| over > 0.0) else {
+            return;
+        };
+        // Moving onto a server that would pass the threshold itself only spreads the trouble.
+        let conn = &self.conns[&moved];
+        let room = self.servers.iter().any(|(&to, s)| {
+            to != id && self.open(s) && !s.suspect && self.load_after(conn, s) < limit
+        });
+        // Peers see the same figure: all together should move what is over, not each of them.
+        let unit = *self.units.get(&server.kind()).unwrap_or(&self.unit);
+        let chance = over / (conn.load * unit * self.set.fleet_size as f64);
+        if room && self.rng.random::<f64>() < chance {
+            out.push(Action::Move { id: moved });
         }
     }
 }
+
+/// When a server is warm at the latest.
+fn cold_end(entry: &Entry, set: &Settings) -> Secs {
+    entry
+        .born
+        .map_or(f64::NEG_INFINITY, |born| born + set.cold_for)
+}
