--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod api;
 mod fading;
 pub mod policy;
+mod state;
 
 pub use policy::Balancer;
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -1,4 +1,5 @@
-//! Every decision of the balancer. Its types, events, actions and settings are in `api.rs`.
+//! Every decision of the balancer. Its types, events, actions and settings are in `api.rs`;
+//! `state.rs` keeps the books.
 //!
 //! The design (docs/design.md): probe each server for load, place a connection on the lowest-ranked
 //! server, and move a connection off a server whose probed load passes a threshold.
@@ -10,6 +11,7 @@
 
 use crate::api::*;
 use crate::fading::Fading;
+use crate::state::{Conn, Phase, Server, State};
 
 /// Load over capacity beyond which a connection is moved off a server.
 const THRESHOLD: f64 = 0.85;
@@ -41,65 +43,11 @@
 /// Probe timers carry the server's id above this.
 const TIMER_PROBE: u64 = 1 << 32;
 
-#[derive(Debug, Default)]
-struct Server {
-    /// The list's latest word on it.
-    entry: Option<Entry>,
-    /// The probed figure in the design's metric order, once heard.
-    figure: Option<f64>,
-    /// Changes of own load that the figure may not hold yet.
-    pending: Vec<(Secs, f64)>,
-    /// Own connections and attempts, their load, and how many of them are of each group.
-    own: BTreeSet<RequestId>,
-    load: f64,
-    groups: BTreeMap<u64, usize>,
-    /// It answered neither a probe nor a connect since it last did.
-    suspect: bool,
-    errors: Fading,
-    /// When a cold server may get its next connection.
-    cold_until: Secs,
-    probing: bool,
-}
-
-impl Server {
-    fn up(&self) -> bool {
-        self.entry
-            .as_ref()
-            .is_some_and(|entry| entry.status == Status::Up)
-    }
-
-    fn kind(&self) -> Option<usize> {
-        self.entry.as_ref().and_then(|entry| entry.kind)
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    Waiting,
-    Out(ServerId),
-    Open(ServerId),
-}
-
-#[derive(Debug)]
-struct Conn {
-    request: Request,
-    deadline: Secs,
-    phase: Phase,
-    sent_at: Secs,
-    tried: Vec<ServerId>,
-    /// The first attempt that may have run: where and when it was sent.
-    may_have_run: Option<(ServerId, Secs)>,
-    /// Its load in seconds of work a second: as last told, or else as usual for its class.
-    load: f64,
-}
-
 #[derive(Debug)]
 pub struct Balancer {
     set: Settings,
     rng: Pcg64Mcg,
-    now: Secs,
-    servers: BTreeMap<ServerId, Server>,
-    conns: BTreeMap<RequestId, Conn>,
+    state: State,
     waiting: BTreeSet<RequestId>,
     wait_timer: bool,
     subscribed: bool,
@@ -107,10 +55,6 @@
     units: BTreeMap<Option<usize>, f64>,
     unit: f64,
     mean_figure: f64,
-    /// Per class: loads told and their number.
-    loads: Vec<(Fading, Fading)>,
-    /// Per tenant: own connections.
-    tenants: Vec<usize>,
     placed: Fading,
     sends: Fading,
     successes: Fading,
@@ -120,17 +64,13 @@
     pub fn new(set: Settings, seed: u64) -> Self {
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            now: 0.0,
-            servers: BTreeMap::new(),
-            conns: BTreeMap::new(),
+            state: State::new(set.classes.len(), set.tenants.len()),
             waiting: BTreeSet::new(),
             wait_timer: false,
             subscribed: false,
             units: BTreeMap::new(),
             unit: 1.0,
             mean_figure: 0.0,
-            loads: vec![Default::default(); set.classes.len()],
-            tenants: vec![0; set.tenants.len()],
             placed: Fading::default(),
             sends: Fading::default(),
             successes: Fading::default(),
@@ -140,25 +80,25 @@
 
     /// Takes one event at `now` and appends what is to be done about it.
     pub fn handle(&mut self, now: Secs, event: Event, out: &mut Vec<Action>) {
-        self.now = now;
+        self.state.now = now;
         match event {
             Event::Start | Event::DelayNote { .. } => {}
             Event::Servers { kind, entries } => self.on_list(kind, entries, out),
             Event::Request(request) => {
                 let id = request.id;
-                self.adopt(request);
+                self.state.adopt(request);
                 self.place(id, out);
             }
             Event::Open { request, server } => {
                 let id = request.id;
-                self.adopt(request);
-                self.join(id, server, Phase::Open(server));
+                self.state.adopt(request);
+                self.state.join(id, server, Phase::Open(server));
             }
             Event::Begun { id, server } => {
                 self.successes.add(now, FORGIVE, 1.0);
-                if let Some(conn) = self.conns.get_mut(&id) {
+                if let Some(conn) = self.state.conns.get_mut(&id) {
                     conn.phase = Phase::Open(server);
-                    self.server(server, |s| s.suspect = false);
+                    self.state.server(server, |s| s.suspect = false);
                 }
             }
             Event::Outcome {
@@ -174,7 +114,7 @@
             }
             Event::Gone(id) => {
                 let out_there = |conn: &Conn| matches!(conn.phase, Phase::Out(_));
-                if let Some(conn) = self.forget(id).filter(out_there)
+                if let Some(conn) = self.state.forget(id).filter(out_there)
                     && self.set.may_cancel
                 {
                     out.push(Action::Cancel {
@@ -183,7 +123,7 @@
                     });
                 }
             }
-            Event::LoadNote { id, load } => self.on_load(id, load),
+            Event::LoadNote { id, load } => self.state.on_load(id, load),
             Event::Probed {
                 server,
                 outcome,
@@ -192,12 +132,12 @@
                 self.hear(server, report);
                 match outcome {
                     Outcome::Ok => {
-                        self.server(server, |s| s.suspect = false);
+                        self.state.server(server, |s| s.suspect = false);
                         self.relieve(server, out);
                     }
                     // A server that turns probes away is alive.
                     Outcome::Full | Outcome::Cancelled | Outcome::NotSent => {}
-                    _ => self.server(server, |s| s.suspect = true),
+                    _ => self.state.server(server, |s| s.suspect = true),
                 }
             }
             Event::Timer(TIMER_ASK) => self.ask(out),
@@ -211,10 +151,6 @@
         }
     }
 
-    fn server(&mut self, id: ServerId, change: impl FnOnce(&mut Server)) {
-        self.servers.get_mut(&id).map(change);
-    }
-
     // The server list.
 
     fn on_list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
@@ -231,6 +167,7 @@
         if kind != ListKind::Update {
             let listed: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
             for (_, server) in self
+                .state
                 .servers
                 .iter_mut()
                 .filter(|(id, _)| !listed.contains(id))
@@ -243,7 +180,7 @@
         }
         for entry in entries {
             let id = entry.server;
-            let server = self.servers.entry(id).or_default();
+            let server = self.state.servers.entry(id).or_default();
             let restarted = server
                 .entry
                 .as_ref()
@@ -252,9 +189,10 @@
                 // What is known of the old process no longer holds.
                 (server.figure, server.suspect, server.errors) = Default::default();
             }
-            if (restarted || server.entry.is_none()) && self.now < cold_end(&entry, &self.set) {
+            if (restarted || server.entry.is_none()) && self.state.now < cold_end(&entry, &self.set)
+            {
                 // Proxies hear of a cold server together: their first connections are spread out.
-                server.cold_until = self.now + self.rng.random_range(0.0..self.set.fall_for);
+                server.cold_until = self.state.now + self.rng.random_range(0.0..self.set.fall_for);
             }
             let up = entry.status == Status::Up;
             server.entry = Some(entry);
@@ -284,7 +222,7 @@
 
     fn on_probe_timer(&mut self, token: u64, out: &mut Vec<Action>) {
         let id = (token - TIMER_PROBE) as ServerId;
-        let Some(server) = self.servers.get_mut(&id) else {
+        let Some(server) = self.state.servers.get_mut(&id) else {
             return;
         };
         server.probing = server.up();
@@ -300,8 +238,8 @@
         let figure = report.load.or(report.connections).or(report.queue);
         // A figure that is no number, negative or infinite says nothing.
         if let Some(figure) = figure.filter(|f| f.is_finite() && *f >= 0.0) {
-            let held_since = self.now - REPORT_AGE;
-            self.server(id, |server| {
+            let held_since = self.state.now - REPORT_AGE;
+            self.state.server(id, |server| {
                 server.figure = Some(figure);
                 server.pending.retain(|(at, _)| *at > held_since);
             });
@@ -314,7 +252,7 @@
     fn learn_units(&mut self) {
         let mut sums: BTreeMap<Option<usize>, (f64, f64)> = BTreeMap::new();
         let (mut figures, mut load, mut heard) = (0.0, 0.0, 0.0);
-        for server in self.servers.values().filter(|s| s.up()) {
+        for server in self.state.servers.values().filter(|s| s.up()) {
             let Some(figure) = server.figure else {
                 continue;
             };
@@ -337,107 +275,6 @@
 
     // Requests.
 
-    fn adopt(&mut self, request: Request) {
-        if let Some(tenant) = request.tenant {
-            self.tenants[tenant] += 1;
-        }
-        let conn = Conn {
-            deadline: self.now + request.patience,
-            phase: Phase::Waiting,
-            sent_at: self.now,
-            tried: Vec::new(),
-            may_have_run: None,
-            load: request
-                .hint
-                .unwrap_or_else(|| self.class_load(request.class)),
-            request,
-        };
-        self.conns.insert(conn.request.id, conn);
-    }
-
-    /// The usual load of a class, or of all where none of it has been told.
-    fn class_load(&self, class: usize) -> f64 {
-        let sum = |loads: &[(Fading, Fading)]| {
-            let get = |fading: &Fading| fading.get(self.now, MEMORY);
-            loads
-                .iter()
-                .fold((0.0, 0.0), |(sum, n), (l, c)| (sum + get(l), n + get(c)))
-        };
-        let (told, number) = sum(&self.loads[class..=class]);
-        let (all, all_number) = sum(&self.loads);
-        let usual = if all_number > 0.0 {
-            all / all_number
-        } else {
-            1.0
-        };
-        (told + usual) / (number + 1.0)
-    }
-
-    fn on_load(&mut self, id: RequestId, load: f64) {
-        let Some(conn) = self
-            .conns
-            .get_mut(&id)
-            .filter(|_| load.is_finite() && load >= 0.0)
-        else {
-            return;
-        };
-        let change = load - conn.load;
-        conn.load = load;
-        let (sum, number) = &mut self.loads[conn.request.class];
-        sum.add(self.now, MEMORY, load);
-        number.add(self.now, MEMORY, 1.0);
-        if let Phase::Out(server) | Phase::Open(server) = conn.phase {
-            self.server(server, |server| server.load += change);
-        }
-    }
-
-    fn join(&mut self, id: RequestId, to: ServerId, phase: Phase) {
-        let Some(conn) = self.conns.get_mut(&id) else {
-            return;
-        };
-        conn.phase = phase;
-        conn.sent_at = self.now;
-        conn.tried.push(to);
-        let server = self.servers.entry(to).or_default();
-        server.own.insert(id);
-        server.load += conn.load;
-        if let Some(group) = conn.request.group {
-            *server.groups.entry(group).or_default() += 1;
-        }
-    }
-
-    fn leave(&mut self, id: RequestId) {
-        let Some(conn) = self.conns.get_mut(&id) else {
-            return;
-        };
-        let (Phase::Out(from) | Phase::Open(from)) = conn.phase else {
-            return;
-        };
-        conn.phase = Phase::Waiting;
-        let server = self.servers.get_mut(&from).expect("joined before");
-        server.own.remove(&id);
-        server.load = (server.load - conn.load).max(0.0);
-        server.pending.push((self.now, -conn.load));
-        if let Some(group) = conn.request.group {
-            let left = server.groups.get_mut(&group).expect("joined before");
-            *left -= 1;
-            if *left == 0 {
-                server.groups.remove(&group);
-            }
-        }
-    }
-
-    fn forget(&mut self, id: RequestId) -> Option<Conn> {
-        let phase = self.conns.get(&id)?.phase;
-        self.leave(id);
-        self.waiting.remove(&id);
-        let conn = self.conns.remove(&id)?;
-        if let Some(tenant) = conn.request.tenant {
-            self.tenants[tenant] -= 1;
-        }
-        Some(Conn { phase, ..conn })
-    }
-
     fn on_outcome(
         &mut self,
         id: RequestId,
@@ -446,7 +283,7 @@
         last: bool,
         out: &mut Vec<Action>,
     ) {
-        let Some(conn) = self.conns.get_mut(&id) else {
+        let Some(conn) = self.state.conns.get_mut(&id) else {
             return;
         };
         let was_out = conn.phase == Phase::Out(server);
@@ -454,17 +291,18 @@
             conn.may_have_run.get_or_insert((server, conn.sent_at));
         }
         match outcome {
-            Outcome::ConnectFailed => self.server(server, |s| s.suspect = true),
+            Outcome::ConnectFailed => self.state.server(server, |s| s.suspect = true),
             Outcome::Error | Outcome::Full | Outcome::TimedOut | Outcome::Reset if was_out => {
-                let now = self.now;
-                self.server(server, |s| s.errors.add(now, FORGIVE, 1.0));
+                let now = self.state.now;
+                self.state
+                    .server(server, |s| s.errors.add(now, FORGIVE, 1.0));
             }
             _ => {}
         }
         if last {
-            self.forget(id);
+            self.state.forget(id);
         } else if was_out {
-            self.leave(id);
+            self.state.leave(id);
             self.place(id, out);
         }
     }
@@ -472,10 +310,10 @@
     /// Sends a request to the lowest-ranked server it may go to, lets it wait while none is open
     /// to it, and else answers it at once.
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(conn) = self.conns.get(&id) else {
+        let Some(conn) = self.state.conns.get(&id) else {
             return;
         };
-        let left = conn.deadline - self.now;
+        let left = conn.deadline - self.state.now;
         let aim = self.set.classes[conn.request.class].aim;
         let attempts = conn.tried.len();
         if left <= 0.0 || attempts >= self.set.max_attempts || self.throttled() {
@@ -499,13 +337,13 @@
         if after > self.limit(id) {
             return self.give_up(id, out);
         }
-        self.sends.add(self.now, FORGIVE, 1.0);
-        self.placed.add(self.now, MEMORY, 1.0);
-        let gap = self.cold_gap(&self.servers[&to]);
-        let load = self.added_load(&self.conns[&id], &self.servers[&to]);
-        self.join(id, to, Phase::Out(to));
-        let now = self.now;
-        self.server(to, |server| {
+        self.sends.add(self.state.now, FORGIVE, 1.0);
+        self.placed.add(self.state.now, MEMORY, 1.0);
+        let gap = self.cold_gap(&self.state.servers[&to]);
+        let load = self.added_load(&self.state.conns[&id], &self.state.servers[&to]);
+        self.state.join(id, to, Phase::Out(to));
+        let now = self.state.now;
+        self.state.server(to, |server| {
             server.pending.push((now, load));
             server.cold_until = now + gap;
         });
@@ -519,8 +357,8 @@
     /// When far more is sent than begins, whatever the server, what they share is failing, such as
     /// the store that set-up needs: sending more keeps it down (adaptive throttling).
     fn throttled(&mut self) -> bool {
-        let sends = self.sends.get(self.now, FORGIVE);
-        let successes = self.successes.get(self.now, FORGIVE);
+        let sends = self.sends.get(self.state.now, FORGIVE);
+        let successes = self.successes.get(self.state.now, FORGIVE);
         let excess = (sends - TOLERATED * successes - 5.0) / (sends + 1.0);
         self.rng.random::<f64>() < excess
     }
@@ -530,16 +368,16 @@
         if !self.set.report_fields.contains(&Field::Load) {
             return f64::INFINITY;
         }
-        let over = self.conns[&id].request.tenant.is_some_and(|tenant| {
+        let over = self.state.conns[&id].request.tenant.is_some_and(|tenant| {
             let quota = self.set.tenants[tenant].quota.unwrap_or(f64::INFINITY);
-            self.tenants[tenant] as f64 > quota / self.set.fleet_size as f64
+            self.state.tenants[tenant] as f64 > quota / self.set.fleet_size as f64
         });
         // What a tenant sends beyond its share goes first when room gets short.
         if over { THRESHOLD } else { ADMIT }
     }
 
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(conn) = self.forget(id) else {
+        let Some(conn) = self.state.forget(id) else {
             return;
         };
         let class = &self.set.classes[conn.request.class];
@@ -563,7 +401,12 @@
         let Some((first, at)) = conn.may_have_run else {
             return true;
         };
-        let Some(first) = self.servers.get(&first).and_then(|s| s.entry.as_ref()) else {
+        let Some(first) = self
+            .state
+            .servers
+            .get(&first)
+            .and_then(|s| s.entry.as_ref())
+        else {
             return class.effect == Effect::Safe;
         };
         let together = match class.scope {
@@ -572,7 +415,7 @@
             Scope::Cell => server.cell == first.cell,
         };
         class.effect == Effect::Safe
-            || class.effect == Effect::Keyed && together && self.now < at + class.window
+            || class.effect == Effect::Keyed && together && self.state.now < at + class.window
     }
 
     // Ranking.
@@ -580,9 +423,9 @@
     /// The lowest-ranked server the request may go to and its load then. Near-equals are drawn
     /// from at random, since other proxies see the same lowest one.
     fn choose(&mut self, id: RequestId) -> Option<(ServerId, f64)> {
-        let conn = &self.conns[&id];
+        let conn = &self.state.conns[&id];
         let mut ranked: Vec<(f64, ServerId, f64)> = Vec::new();
-        for (&server_id, server) in &self.servers {
+        for (&server_id, server) in &self.state.servers {
             let Some(entry) = server.entry.as_ref().filter(|_| self.open(server)) else {
                 continue;
             };
@@ -599,7 +442,7 @@
     }
 
     fn open(&self, server: &Server) -> bool {
-        server.up() && self.now >= server.cold_until
+        server.up() && self.state.now >= server.cold_until
     }
 
     /// The probed figure, own changes since (and as many by each peer), and what the request adds.
@@ -617,12 +460,7 @@
             .request
             .group
             .filter(|g| self.set.groups && !server.groups.contains_key(g));
-        conn.load + group.map_or(0.0, |_| GROUP_COST * self.unit_load())
-    }
-
-    fn unit_load(&self) -> f64 {
-        let own: usize = self.servers.values().map(|s| s.own.len()).sum();
-        self.servers.values().map(|s| s.load).sum::<f64>() / own.max(1) as f64
+        conn.load + group.map_or(0.0, |_| GROUP_COST * self.state.mean_load())
     }
 
     /// What else counts against a server: failures, silence, and the price of another zone.
@@ -634,7 +472,7 @@
             0.0
         };
         let suspect = if server.suspect { SUSPECT } else { 0.0 };
-        cross + suspect + server.errors.get(self.now, FORGIVE)
+        cross + suspect + server.errors.get(self.state.now, FORGIVE)
     }
 
     /// The least time between two connections to a cold server, from what warm ones take.
@@ -642,15 +480,22 @@
         let Some(entry) = server
             .entry
             .as_ref()
-            .filter(|e| self.now < cold_end(e, &self.set))
+            .filter(|e| self.state.now < cold_end(e, &self.set))
         else {
             return 0.0;
         };
-        let rest = (cold_end(entry, &self.set) - self.now) / self.set.cold_for;
+        let rest = (cold_end(entry, &self.set) - self.state.now) / self.set.cold_for;
         let share = 1.0 - (1.0 - self.set.cold_from) * rest.min(1.0);
-        let up = self.servers.values().filter(|s| s.up()).count().max(1) as f64;
+        let up = self
+            .state
+            .servers
+            .values()
+            .filter(|s| s.up())
+            .count()
+            .max(1) as f64;
         // At its mean figure a warm server takes this many connections a second of this balancer.
-        let warm = self.placed.get(self.now, MEMORY) / MEMORY / up / self.mean_figure.max(0.2);
+        let warm =
+            self.placed.get(self.state.now, MEMORY) / MEMORY / up / self.mean_figure.max(0.2);
         let gap = 2.0 / (self.set.fall_multiple * share * warm);
         gap.clamp(self.set.fall_for / 4.0, self.set.cold_for / 2.0)
     }
@@ -665,12 +510,12 @@
         } else {
             COUNT_TRIGGER * self.mean_figure
         };
-        let Some(server) = self.servers.get(&id).filter(|s| s.up()) else {
+        let Some(server) = self.state.servers.get(&id).filter(|s| s.up()) else {
             return;
         };
         let over = server.figure.map_or(0.0, |figure| figure - limit);
-        let open = |id: &&RequestId| matches!(self.conns[*id].phase, Phase::Open(_));
-        let load = |id: &RequestId| self.conns[id].load;
+        let open = |id: &&RequestId| matches!(self.state.conns[*id].phase, Phase::Open(_));
+        let load = |id: &RequestId| self.state.conns[id].load;
         let heaviest = server
             .own
             .iter()
@@ -681,8 +526,8 @@
             return;
         };
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
-        let conn = &self.conns[&moved];
-        let room = self.servers.iter().any(|(&to, s)| {
+        let conn = &self.state.conns[&moved];
+        let room = self.state.servers.iter().any(|(&to, s)| {
             to != id && self.open(s) && !s.suspect && self.load_after(conn, s) < limit
         });
         // Peers see the same figure: all together should move what is over, not each of them.
--- /dev/null
+++ b/crates/balancer/src/state.rs
@@ -0,0 +1,196 @@
+//! What a balancer knows: servers, connections, and who holds what. Bookkeeping without decisions;
+//! those are in `policy.rs`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::api::*;
+use crate::fading::Fading;
+
+/// Time constant of the usual load of a class.
+const MEMORY: Secs = 15.0;
+
+#[derive(Debug, Default)]
+pub struct Server {
+    /// The list's latest word on it.
+    pub entry: Option<Entry>,
+    /// The probed figure in the design's metric order, once heard.
+    pub figure: Option<f64>,
+    /// Changes of own load that the figure may not hold yet.
+    pub pending: Vec<(Secs, f64)>,
+    /// Own connections and attempts, their load, and how many of them are of each group.
+    pub own: BTreeSet<RequestId>,
+    pub load: f64,
+    pub groups: BTreeMap<u64, usize>,
+    /// It answered neither a probe nor a connect since it last did.
+    pub suspect: bool,
+    pub errors: Fading,
+    /// When a cold server may get its next connection.
+    pub cold_until: Secs,
+    pub probing: bool,
+}
+
+impl Server {
+    pub fn up(&self) -> bool {
+        self.entry
+            .as_ref()
+            .is_some_and(|entry| entry.status == Status::Up)
+    }
+
+    pub fn kind(&self) -> Option<usize> {
+        self.entry.as_ref().and_then(|entry| entry.kind)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Phase {
+    Waiting,
+    Out(ServerId),
+    Open(ServerId),
+}
+
+#[derive(Debug)]
+pub struct Conn {
+    pub request: Request,
+    pub deadline: Secs,
+    pub phase: Phase,
+    pub sent_at: Secs,
+    pub tried: Vec<ServerId>,
+    /// The first attempt that may have run: where and when it was sent.
+    pub may_have_run: Option<(ServerId, Secs)>,
+    /// Its load in seconds of work a second: as last told, or else as usual for its class.
+    pub load: f64,
+}
+
+#[derive(Debug)]
+pub struct State {
+    pub now: Secs,
+    pub servers: BTreeMap<ServerId, Server>,
+    pub conns: BTreeMap<RequestId, Conn>,
+    /// Own connections and attempts of each tenant.
+    pub tenants: Vec<usize>,
+    /// Per class: loads told and their number.
+    loads: Vec<(Fading, Fading)>,
+}
+
+impl State {
+    pub fn new(classes: usize, tenants: usize) -> Self {
+        Self {
+            now: 0.0,
+            servers: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            tenants: vec![0; tenants],
+            loads: vec![Default::default(); classes],
+        }
+    }
+
+    /// Changes a server, if it is known.
+    pub fn server(&mut self, id: ServerId, change: impl FnOnce(&mut Server)) {
+        self.servers.get_mut(&id).map(change);
+    }
+
+    /// The mean load of own connections and attempts.
+    pub fn mean_load(&self) -> f64 {
+        let own: usize = self.servers.values().map(|s| s.own.len()).sum();
+        self.servers.values().map(|s| s.load).sum::<f64>() / own.max(1) as f64
+    }
+
+    pub fn adopt(&mut self, request: Request) {
+        if let Some(tenant) = request.tenant {
+            self.tenants[tenant] += 1;
+        }
+        let conn = Conn {
+            deadline: self.now + request.patience,
+            phase: Phase::Waiting,
+            sent_at: self.now,
+            tried: Vec::new(),
+            may_have_run: None,
+            load: request
+                .hint
+                .unwrap_or_else(|| self.class_load(request.class)),
+            request,
+        };
+        self.conns.insert(conn.request.id, conn);
+    }
+
+    /// The usual load of a class, or of all where none of it has been told.
+    pub fn class_load(&self, class: usize) -> f64 {
+        let sum = |loads: &[(Fading, Fading)]| {
+            let get = |fading: &Fading| fading.get(self.now, MEMORY);
+            loads
+                .iter()
+                .fold((0.0, 0.0), |(sum, n), (l, c)| (sum + get(l), n + get(c)))
+        };
+        let (told, number) = sum(&self.loads[class..=class]);
+        let (all, all_number) = sum(&self.loads);
+        let usual = if all_number > 0.0 {
+            all / all_number
+        } else {
+            1.0
+        };
+        (told + usual) / (number + 1.0)
+    }
+
+    pub fn on_load(&mut self, id: RequestId, load: f64) {
+        let Some(conn) = self
+            .conns
+            .get_mut(&id)
+            .filter(|_| load.is_finite() && load >= 0.0)
+        else {
+            return;
+        };
+        let change = load - conn.load;
+        conn.load = load;
+        let (sum, number) = &mut self.loads[conn.request.class];
+        sum.add(self.now, MEMORY, load);
+        number.add(self.now, MEMORY, 1.0);
+        if let Phase::Out(server) | Phase::Open(server) = conn.phase {
+            self.server(server, |server| server.load += change);
+        }
+    }
+
+    pub fn join(&mut self, id: RequestId, to: ServerId, phase: Phase) {
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return;
+        };
+        conn.phase = phase;
+        conn.sent_at = self.now;
+        conn.tried.push(to);
+        let server = self.servers.entry(to).or_default();
+        server.own.insert(id);
+        server.load += conn.load;
+        if let Some(group) = conn.request.group {
+            *server.groups.entry(group).or_default() += 1;
+        }
+    }
+
+    pub fn leave(&mut self, id: RequestId) {
+        let Some(conn) = self.conns.get_mut(&id) else {
+            return;
+        };
+        let (Phase::Out(from) | Phase::Open(from)) = conn.phase else {
+            return;
+        };
+        conn.phase = Phase::Waiting;
+        let server = self.servers.get_mut(&from).expect("joined before");
+        server.own.remove(&id);
+        server.load = (server.load - conn.load).max(0.0);
+        server.pending.push((self.now, -conn.load));
+        if let Some(group) = conn.request.group {
+            let left = server.groups.get_mut(&group).expect("joined before");
+            *left -= 1;
+            if *left == 0 {
+                server.groups.remove(&group);
+            }
+        }
+    }
+
+    pub fn forget(&mut self, id: RequestId) -> Option<Conn> {
+        let phase = self.conns.get(&id)?.phase;
+        self.leave(id);
+        let conn = self.conns.remove(&id)?;
+        if let Some(tenant) = conn.request.tenant {
+            self.tenants[tenant] -= 1;
+        }
+        Some(Conn { phase, ..conn })
+    }
+}
