--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -22,7 +22,7 @@
 /// Time between two probes of a server.
 const PROBE_EVERY: Secs = 1.0;
 /// A report may show the state of so long ago; own placements since then are added to it.
-const REPORT_AGE: Secs = 1.0;
+const REPORT_AGE: Secs = 2.0;
 /// Load that a price of one for a zone crossing is worth.
 const CROSS_LOAD: f64 = 3.0;
 /// Connections' worth of load that a group is taken to cost on each server that holds any of it.
@@ -451,7 +451,7 @@
         let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
         let known = server.figure.unwrap_or(self.mean_figure);
         let now = known + pending * unit * self.set.fleet_size as f64;
-        now.max(0.0) + self.added_load(conn, server) * unit
+        now + self.added_load(conn, server) * unit
     }
 
     /// A connection's own load, and its group's where the server holds none of it.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -15,7 +15,8 @@
     pub entry: Option<Entry>,
     /// The probed figure in the design's metric order, once heard.
     pub figure: Option<f64>,
-    /// Changes of own load that the figure may not hold yet.
+    /// Own placements that the figure may not hold yet, with the load each adds. Departures don't
+    /// count: a server that has just dropped all its connections is not idle.
     pub pending: Vec<(Secs, f64)>,
     /// Own connections and attempts, their load, and how many of them are of each group.
     pub own: BTreeSet<RequestId>,
@@ -174,7 +175,6 @@
         let server = self.servers.get_mut(&from).expect("joined before");
         server.own.remove(&id);
         server.load = (server.load - conn.load).max(0.0);
-        server.pending.push((self.now, -conn.load));
         if let Some(group) = conn.request.group {
             let left = server.groups.get_mut(&group).expect("joined before");
             *left -= 1;
