--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -18,7 +18,7 @@
 /// Where only connection counts are known: the count over the servers' mean that triggers a move.
 const COUNT_TRIGGER: f64 = 1.3;
 /// Load over capacity beyond which no server is given more.
-const ADMIT: f64 = 1.0;
+const ADMIT: f64 = 0.9;
 /// Time between two probes of a server.
 const PROBE_EVERY: Secs = 1.0;
 /// A report may show the state of so long ago; own placements since then are added to it.
