--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -26,7 +26,7 @@
 /// Load that a price of one for a zone crossing is worth.
 const CROSS_LOAD: f64 = 3.0;
 /// Connections' worth of load that a group is taken to cost on each server that holds any of it.
-const GROUP_COST: f64 = 2.0;
+const GROUP_COST: f64 = 5.0;
 /// Time constant of what is learned from this balancer's own traffic.
 const MEMORY: Secs = 15.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
