--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -26,7 +26,9 @@
 /// Load that a price of one for a zone crossing is worth.
 const CROSS_LOAD: f64 = 3.0;
 /// Connections' worth of load that a group is taken to cost on each server that holds any of it.
-const GROUP_COST: f64 = 5.0;
+const GROUP_COST: f64 = 2.0;
+/// By this many times its cost a server without the group ranks behind: the cost stays for long.
+const GROUP_SHUN: f64 = 4.0;
 /// Time constant of what is learned from this balancer's own traffic.
 const MEMORY: Secs = 15.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
@@ -430,8 +432,13 @@
                 continue;
             };
             if !conn.tried.contains(&server_id) && self.harmless(conn, entry) {
-                let after = self.load_after(conn, server);
-                ranked.push((after + self.surcharge(server, entry), server_id, after));
+                let after = self.load_after(conn, server, true);
+                let shun = GROUP_SHUN * (after - self.load_after(conn, server, false));
+                ranked.push((
+                    after + shun + self.surcharge(server, entry),
+                    server_id,
+                    after,
+                ));
             }
         }
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
@@ -446,12 +453,17 @@
     }
 
     /// The probed figure, own changes since (and as many by each peer), and what the request adds.
-    fn load_after(&self, conn: &Conn, server: &Server) -> f64 {
+    fn load_after(&self, conn: &Conn, server: &Server, group: bool) -> f64 {
         let unit = *self.units.get(&server.kind()).unwrap_or(&self.unit);
         let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
         let known = server.figure.unwrap_or(self.mean_figure);
         let now = known + pending * unit * self.set.fleet_size as f64;
-        now + self.added_load(conn, server) * unit
+        let added = if group {
+            self.added_load(conn, server)
+        } else {
+            conn.load
+        };
+        now + added * unit
     }
 
     /// A connection's own load, and its group's where the server holds none of it.
@@ -528,7 +540,7 @@
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
         let conn = &self.state.conns[&moved];
         let room = self.state.servers.iter().any(|(&to, s)| {
-            to != id && self.open(s) && !s.suspect && self.load_after(conn, s) < limit
+            to != id && self.open(s) && !s.suspect && self.load_after(conn, s, true) < limit
         });
         // Peers see the same figure: all together should move what is over, not each of them.
         let unit = *self.units.get(&server.kind()).unwrap_or(&self.unit);
