--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -29,6 +29,8 @@
 const GROUP_COST: f64 = 2.0;
 /// By this many times its cost a server without the group ranks behind: the cost stays for long.
 const GROUP_SHUN: f64 = 4.0;
+/// A server is taken to hold at least this many usual connections.
+const LEAST_HELD: f64 = 10.0;
 /// Time constant of what is learned from this balancer's own traffic.
 const MEMORY: Secs = 15.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
@@ -254,7 +256,8 @@
     fn learn_units(&mut self) {
         let mut sums: BTreeMap<Option<usize>, (f64, f64)> = BTreeMap::new();
         let (mut figures, mut load, mut heard) = (0.0, 0.0, 0.0);
-        for server in self.state.servers.values().filter(|s| s.up()) {
+        // A server cut off keeps its old figure while all own connections to it are lost.
+        for server in self.state.servers.values().filter(|s| s.up() && !s.suspect) {
             let Some(figure) = server.figure else {
                 continue;
             };
@@ -266,7 +269,9 @@
             self.mean_figure = figures / heard;
         }
         let fleet = self.set.fleet_size as f64;
-        let unit = |figure: f64, load: f64| (load > 0.0).then(|| figure / load / fleet);
+        // After an own restart little own load stands beside all the others': bounded.
+        let most = 1.0 / (LEAST_HELD * self.state.mean_load());
+        let unit = |figure: f64, load: f64| (load > 0.0).then(|| (figure / load / fleet).min(most));
         self.unit = unit(figures, load).unwrap_or(self.unit);
         self.units.clear();
         for (kind, (figure, load)) in sums {
