--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -19,6 +19,8 @@
 const COUNT_TRIGGER: f64 = 1.3;
 /// Load over capacity beyond which no server is given more.
 const ADMIT: f64 = 0.9;
+/// Load over capacity beyond which connections go even if there is no room for them elsewhere.
+const DROWNING: f64 = 1.0;
 /// Time between two probes of a server.
 const PROBE_EVERY: Secs = 1.0;
 /// A report may show the state of so long ago; own placements since then are added to it.
@@ -375,14 +377,18 @@
         if !self.set.report_fields.contains(&Field::Load) {
             return f64::INFINITY;
         }
-        let over = self.state.conns[&id].request.tenant.is_some_and(|tenant| {
-            let quota = self.set.tenants[tenant].quota.unwrap_or(f64::INFINITY);
-            self.state.tenants[tenant] as f64 > quota / self.set.fleet_size as f64
-        });
         // What a tenant sends beyond its share goes first when room gets short.
+        let over = self.over_share(&self.state.conns[&id].request);
         if over { THRESHOLD } else { ADMIT }
     }
 
+    fn over_share(&self, request: &Request) -> bool {
+        request.tenant.is_some_and(|tenant| {
+            let quota = self.set.tenants[tenant].quota.unwrap_or(f64::INFINITY);
+            self.state.tenants[tenant] as f64 > quota / self.set.fleet_size as f64
+        })
+    }
+
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(conn) = self.state.forget(id) else {
             return;
@@ -531,15 +537,14 @@
             return;
         };
         let over = server.figure.map_or(0.0, |figure| figure - limit);
+        if over <= 0.0 {
+            return;
+        }
+        let unit = *self.units.get(&server.kind()).unwrap_or(&self.unit);
         let open = |id: &&RequestId| matches!(self.state.conns[*id].phase, Phase::Open(_));
         let load = |id: &RequestId| self.state.conns[id].load;
-        let heaviest = server
-            .own
-            .iter()
-            .filter(open)
-            .max_by(|a, b| load(a).total_cmp(&load(b)))
-            .copied();
-        let Some(moved) = heaviest.filter(|_| over > 0.0) else {
+        let heaviest = |a: &&RequestId, b: &&RequestId| load(a).total_cmp(&load(b));
+        let Some(&moved) = server.own.iter().filter(open).max_by(heaviest) else {
             return;
         };
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
@@ -547,13 +552,35 @@
         let room = self.state.servers.iter().any(|(&to, s)| {
             to != id && self.open(s) && !s.suspect && self.load_after(conn, s, true) < limit
         });
+        // With no room anywhere a server past its capacity serves nobody well: what is worth least
+        // for its load goes, and is placed or refused as room allows.
+        let drowning = by_load && over + limit > DROWNING;
+        let worth = |id: &RequestId| self.worth(&self.state.conns[id]);
+        let least = |a: &&RequestId, b: &&RequestId| worth(a).total_cmp(&worth(b));
+        let moved = if room {
+            Some(&moved)
+        } else {
+            server.own.iter().filter(open).min_by(least)
+        };
+        let Some(&moved) = moved.filter(|_| room || drowning) else {
+            return;
+        };
         // Peers see the same figure: all together should move what is over, not each of them.
-        let unit = *self.units.get(&server.kind()).unwrap_or(&self.unit);
-        let chance = over / (conn.load * unit * self.set.fleet_size as f64);
-        if room && self.rng.random::<f64>() < chance {
+        let chance = over / (load(&moved) * unit * self.set.fleet_size as f64);
+        if self.rng.random::<f64>() < chance {
             out.push(Action::Move { id: moved });
         }
     }
+
+    /// What a connection is worth for its load; little beyond its tenant's share.
+    fn worth(&self, conn: &Conn) -> f64 {
+        let over = if self.over_share(&conn.request) {
+            self.set.over_share_worth
+        } else {
+            1.0
+        };
+        over * self.set.classes[conn.request.class].worth / conn.load.max(1e-9)
+    }
 }
 
 /// When a server is warm at the latest.
