--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -463,18 +463,25 @@
         server.up() && self.state.now >= server.cold_until
     }
 
-    /// The probed figure, own changes since (and as many by each peer), and what the request adds.
+    /// A server's load with the request on it, and with what its group then costs there.
     fn load_after(&self, conn: &Conn, server: &Server, group: bool) -> f64 {
-        let unit = *self.units.get(&server.kind()).unwrap_or(&self.unit);
-        let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
-        let known = server.figure.unwrap_or(self.mean_figure);
-        let now = known + pending * unit * self.set.fleet_size as f64;
         let added = if group {
             self.added_load(conn, server)
         } else {
             conn.load
         };
-        now + added * unit
+        self.load_now(server) + added * self.unit_of(server)
+    }
+
+    /// The probed figure, and own changes since, with as many by each peer.
+    fn load_now(&self, server: &Server) -> f64 {
+        let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
+        let pending = pending * self.unit_of(server) * self.set.fleet_size as f64;
+        server.figure.unwrap_or(self.mean_figure) + pending
+    }
+
+    fn unit_of(&self, server: &Server) -> f64 {
+        *self.units.get(&server.kind()).unwrap_or(&self.unit)
     }
 
     /// A connection's own load, and its group's where the server holds none of it.
@@ -525,7 +532,10 @@
 
     // Moves.
 
-    /// Moves one connection off a server that its probe shows past the threshold.
+    /// Moves a connection off a server that its probe shows past the threshold, the one worth least
+    /// for its load, where another server has room for it. With no room anywhere, a server past its
+    /// capacity serves nobody well: there this balancer's part of the excess goes, and comes again
+    /// to be placed or refused.
     fn relieve(&mut self, id: ServerId, out: &mut Vec<Action>) {
         let by_load = self.set.report_fields.contains(&Field::Load);
         let limit = if by_load {
@@ -536,39 +546,37 @@
         let Some(server) = self.state.servers.get(&id).filter(|s| s.up()) else {
             return;
         };
-        let over = server.figure.map_or(0.0, |figure| figure - limit);
-        if over <= 0.0 {
+        let load_now = server.figure.unwrap_or(0.0);
+        if load_now <= limit {
             return;
         }
-        let unit = *self.units.get(&server.kind()).unwrap_or(&self.unit);
-        let open = |id: &&RequestId| matches!(self.state.conns[*id].phase, Phase::Open(_));
-        let load = |id: &RequestId| self.state.conns[id].load;
-        let heaviest = |a: &&RequestId, b: &&RequestId| load(a).total_cmp(&load(b));
-        let Some(&moved) = server.own.iter().filter(open).max_by(heaviest) else {
-            return;
-        };
+        let conn = |id: &RequestId| &self.state.conns[id];
+        let open = |id: &&RequestId| matches!(conn(id).phase, Phase::Open(_));
+        let mut own: Vec<RequestId> = server.own.iter().filter(open).copied().collect();
+        own.sort_by(|a, b| self.worth(conn(a)).total_cmp(&self.worth(conn(b))));
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
-        let conn = &self.state.conns[&moved];
-        let room = self.state.servers.iter().any(|(&to, s)| {
-            to != id && self.open(s) && !s.suspect && self.load_after(conn, s, true) < limit
+        let room = own.first().is_some_and(|first| {
+            let fits = |s: &Server| self.load_after(conn(first), s, true) < limit;
+            self.state
+                .servers
+                .values()
+                .any(|s| self.open(s) && !s.suspect && fits(s))
         });
-        // With no room anywhere a server past its capacity serves nobody well: what is worth least
-        // for its load goes, and is placed or refused as room allows.
-        let drowning = by_load && over + limit > DROWNING;
-        let worth = |id: &RequestId| self.worth(&self.state.conns[id]);
-        let least = |a: &&RequestId, b: &&RequestId| worth(a).total_cmp(&worth(b));
-        let moved = if room {
-            Some(&moved)
+        let all = if by_load && load_now > DROWNING {
+            own.len()
         } else {
-            server.own.iter().filter(open).min_by(least)
-        };
-        let Some(&moved) = moved.filter(|_| room || drowning) else {
-            return;
+            0
         };
+        let most = if room { 1 } else { all };
         // Peers see the same figure: all together should move what is over, not each of them.
-        let chance = over / (load(&moved) * unit * self.set.fleet_size as f64);
-        if self.rng.random::<f64>() < chance {
-            out.push(Action::Move { id: moved });
+        let unit = self.unit_of(server) * self.set.fleet_size as f64;
+        let mut over = load_now - if room { limit } else { DROWNING };
+        for id in own.into_iter().take(most) {
+            let eases = conn(&id).load * unit;
+            if self.rng.random::<f64>() * eases < over {
+                out.push(Action::Move { id });
+            }
+            over -= eases;
         }
     }
 
