--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -156,85 +156,53 @@
     }
 }
 
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub id: RequestId,
+    pub server: ServerId,
+    pub outcome: Outcome,
+    /// The request is finished; nothing is owed for it.
+    pub last: bool,
+    pub report: Report,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The balancer has come to life; a `Servers` event follows.
     Start,
-    Servers {
-        kind: ListKind,
-        entries: Vec<Entry>,
-    },
+    Servers(ListKind, Vec<Entry>),
     Request(Request),
     /// A connection that is already open on `server` at the balancer's start.
-    Open {
-        request: Request,
-        server: ServerId,
-    },
+    Open(Request, ServerId),
     /// The connection is up; time-out and deadline stop.
-    Begun {
-        id: RequestId,
-        server: ServerId,
-    },
-    Outcome {
-        id: RequestId,
-        server: ServerId,
-        attempt: usize,
-        outcome: Outcome,
-        /// The request is finished; nothing is owed for it.
-        last: bool,
-        report: Report,
-    },
+    Begun(RequestId, ServerId),
+    Outcome(Ended),
     /// The client left; nothing is owed any more.
     Gone(RequestId),
     /// The connection's load now, in seconds of work a second.
-    LoadNote {
-        id: RequestId,
-        load: f64,
-    },
+    LoadNote(RequestId, f64),
     /// How long a message takes at the connection's server now.
-    DelayNote {
-        server: ServerId,
-        delay: Secs,
-    },
-    Probed {
-        server: ServerId,
-        outcome: Outcome,
-        report: Report,
-    },
+    DelayNote(ServerId, Secs),
+    Probed(ServerId, Outcome, Report),
     Timer(u64),
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Send {
-        id: RequestId,
-        server: ServerId,
-        timeout: Secs,
-    },
-    /// Final: turned away, harmless to repeat.
-    Refuse {
-        id: RequestId,
-        retry_after: Option<Secs>,
-    },
+    /// Start an attempt, with its time-out.
+    Send(RequestId, ServerId, Secs),
+    /// Final: turned away, harmless to repeat, perhaps with a time to come back after.
+    Refuse(RequestId, Option<Secs>),
     /// Final: failed, without a promise.
-    Fail {
-        id: RequestId,
-    },
+    Fail(RequestId),
     /// Close an open connection politely; its client comes again.
-    Move {
-        id: RequestId,
-    },
-    Cancel {
-        id: RequestId,
-        attempt: usize,
-    },
-    Probe {
-        server: ServerId,
-    },
+    Move(RequestId),
+    /// Stop waiting for an attempt, by its number.
+    Cancel(RequestId, usize),
+    Probe(ServerId),
     /// Ask for the server list and its changes from now on.
     Subscribe,
-    Timer {
-        after: Secs,
-        token: u64,
-    },
+    /// Ask for a `Timer` event with this token after a while.
+    Timer(Secs, u64),
 }
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -88,53 +88,39 @@
     pub fn handle(&mut self, now: Secs, event: Event, out: &mut Vec<Action>) {
         self.state.now = now;
         match event {
-            Event::Start | Event::DelayNote { .. } => {}
-            Event::Servers { kind, entries } => self.on_list(kind, entries, out),
+            Event::Start | Event::DelayNote(..) => {}
+            Event::Servers(kind, entries) => self.on_list(kind, entries, out),
             Event::Request(request) => {
                 let id = request.id;
                 self.state.adopt(request);
                 self.place(id, out);
             }
-            Event::Open { request, server } => {
+            Event::Open(request, server) => {
                 let id = request.id;
                 self.state.adopt(request);
                 self.state.join(id, server, Phase::Open(server));
             }
-            Event::Begun { id, server } => {
+            Event::Begun(id, server) => {
                 self.successes.add(now, FORGIVE, 1.0);
                 if let Some(conn) = self.state.conns.get_mut(&id) {
                     conn.phase = Phase::Open(server);
                     self.state.server(server, |s| s.suspect = false);
                 }
             }
-            Event::Outcome {
-                id,
-                server,
-                outcome,
-                last,
-                report,
-                ..
-            } => {
-                self.hear(server, report);
-                self.on_outcome(id, server, outcome, last, out);
+            Event::Outcome(ended) => {
+                self.hear(ended.server, ended.report);
+                self.on_outcome(ended, out);
             }
             Event::Gone(id) => {
                 let out_there = |conn: &Conn| matches!(conn.phase, Phase::Out(_));
                 if let Some(conn) = self.state.forget(id).filter(out_there)
                     && self.set.may_cancel
                 {
-                    out.push(Action::Cancel {
-                        id,
-                        attempt: conn.tried.len() - 1,
-                    });
+                    out.push(Action::Cancel(id, conn.tried.len() - 1));
                 }
             }
-            Event::LoadNote { id, load } => self.state.on_load(id, load),
-            Event::Probed {
-                server,
-                outcome,
-                report,
-            } => {
+            Event::LoadNote(id, load) => self.state.on_load(id, load),
+            Event::Probed(server, outcome, report) => {
                 self.hear(server, report);
                 match outcome {
                     Outcome::Ok => {
@@ -164,25 +150,11 @@
             // A random wait, so that proxies that lost the list together don't ask together.
             self.subscribed = false;
             let after = self.set.ask_within * self.rng.random_range(0.05..0.2);
-            out.push(Action::Timer {
-                after,
-                token: TIMER_ASK,
-            });
+            out.push(Action::Timer(after, TIMER_ASK));
             return;
         }
         if kind != ListKind::Update {
-            let listed: BTreeSet<ServerId> = entries.iter().map(|e| e.server).collect();
-            for (_, server) in self
-                .state
-                .servers
-                .iter_mut()
-                .filter(|(id, _)| !listed.contains(id))
-            {
-                server
-                    .entry
-                    .iter_mut()
-                    .for_each(|entry| entry.status = Status::Gone);
-            }
+            self.state.keep_only(&entries);
         }
         for entry in entries {
             let id = entry.server;
@@ -204,12 +176,9 @@
             server.entry = Some(entry);
             if up && !server.probing && self.set.may_probe {
                 server.probing = true;
-                out.push(Action::Probe { server: id });
+                out.push(Action::Probe(id));
                 let after = self.rng.random_range(0.0..PROBE_EVERY);
-                out.push(Action::Timer {
-                    after,
-                    token: TIMER_PROBE + u64::from(id),
-                });
+                out.push(Action::Timer(after, TIMER_PROBE + u64::from(id)));
             }
         }
         if kind == ListKind::Restored {
@@ -233,9 +202,9 @@
         };
         server.probing = server.up();
         if server.probing {
-            out.push(Action::Probe { server: id });
+            out.push(Action::Probe(id));
             let after = PROBE_EVERY * self.rng.random_range(0.9..1.1);
-            out.push(Action::Timer { after, token });
+            out.push(Action::Timer(after, token));
         }
     }
 
@@ -284,14 +253,8 @@
 
     // Requests.
 
-    fn on_outcome(
-        &mut self,
-        id: RequestId,
-        server: ServerId,
-        outcome: Outcome,
-        last: bool,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_outcome(&mut self, ended: Ended, out: &mut Vec<Action>) {
+        let (id, server, outcome) = (ended.id, ended.server, ended.outcome);
         let Some(conn) = self.state.conns.get_mut(&id) else {
             return;
         };
@@ -308,7 +271,7 @@
             }
             _ => {}
         }
-        if last {
+        if ended.last {
             self.state.forget(id);
         } else if was_out {
             self.state.leave(id);
@@ -336,10 +299,7 @@
             self.waiting.insert(id);
             if !self.wait_timer {
                 self.wait_timer = true;
-                out.push(Action::Timer {
-                    after: WAIT_EVERY,
-                    token: TIMER_WAIT,
-                });
+                out.push(Action::Timer(WAIT_EVERY, TIMER_WAIT));
             }
             return;
         };
@@ -356,11 +316,7 @@
             server.pending.push((now, load));
             server.cold_until = now + gap;
         });
-        out.push(Action::Send {
-            id,
-            server: to,
-            timeout: left.min(aim.max(left / 2.0)),
-        });
+        out.push(Action::Send(id, to, left.min(aim.max(left / 2.0))));
     }
 
     /// When far more is sent than begins, whatever the server, what they share is failing, such as
@@ -399,12 +355,9 @@
         // A refusal promises that a repeat is harmless.
         if !ran || class.effect == Effect::Safe || keyed_for_all {
             let wait = self.set.max_retry_after * self.rng.random_range(0.5..1.0);
-            out.push(Action::Refuse {
-                id,
-                retry_after: self.set.may_retry_after.then_some(wait),
-            });
+            out.push(Action::Refuse(id, self.set.may_retry_after.then_some(wait)));
         } else {
-            out.push(Action::Fail { id });
+            out.push(Action::Fail(id));
         }
     }
 
@@ -574,7 +527,7 @@
         for id in own.into_iter().take(most) {
             let eases = conn(&id).load * unit;
             if self.rng.random::<f64>() * eases < over {
-                out.push(Action::Move { id });
+                out.push(Action::Move(id));
             }
             over -= eases;
         }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -89,6 +89,17 @@
         self.servers.get_mut(&id).map(change);
     }
 
+    /// A server that a whole list leaves out is gone.
+    pub fn keep_only(&mut self, entries: &[Entry]) {
+        let listed: BTreeSet<ServerId> = entries.iter().map(|entry| entry.server).collect();
+        let left_out = |(id, _): &(&ServerId, &mut Server)| !listed.contains(id);
+        for (_, server) in self.servers.iter_mut().filter(left_out) {
+            if let Some(entry) = &mut server.entry {
+                entry.status = Status::Gone;
+            }
+        }
+    }
+
     /// The mean load of own connections and attempts.
     pub fn mean_load(&self) -> f64 {
         let own: usize = self.servers.values().map(|s| s.own.len()).sum();
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -5,8 +5,8 @@
 use std::io::{self, Write};
 
 use violetwind_balancer::api::{
-    Action, Class, Effect, Entry, Event, Field, ListKind, Outcome, Report, Request, RequestId,
-    Scope, Secs, ServerId, Settings, Status, Tenant,
+    Action, Class, Effect, Ended, Entry, Event, Field, ListKind, Outcome, Report, Request,
+    RequestId, Scope, Secs, ServerId, Settings, Status, Tenant,
 };
 
 /// The `name=value` pairs of one line.
@@ -247,43 +247,26 @@
     let event = match name {
         "DISCOVERY" => servers(fields, names, lists)?,
         "ORDER" => Event::Request(request(fields, names)?),
-        "ADOPTED" => Event::Open {
-            request: request(fields, names)?,
-            server: fields.server()?,
-        },
-        "FIRST" => Event::Begun {
-            id: fields.id()?,
-            server: fields.server()?,
-        },
-        "SETTLED" => Event::Outcome {
+        "ADOPTED" => Event::Open(request(fields, names)?, fields.server()?),
+        "FIRST" => Event::Begun(fields.id()?, fields.server()?),
+        "SETTLED" => Event::Outcome(Ended {
             id: fields.id()?,
             server: fields.server()?,
-            attempt: fields.int_or("hop", 0)? as usize,
             outcome: outcome(fields)?,
             last: fields.flag("last")?,
             report: report(fields)?,
-        },
+        }),
         "ABORTED" => Event::Gone(fields.id()?),
         "NOTE" => {
             let id = fields.id()?;
             let value = fields.number("value")?.ok_or("expected the field value")?;
             match fields.int("what")? {
-                1 => Event::LoadNote {
-                    id,
-                    load: value / 1e6,
-                },
-                2 => Event::DelayNote {
-                    server: fields.server()?,
-                    delay: value / 1e3,
-                },
+                1 => Event::LoadNote(id, value / 1e6),
+                2 => Event::DelayNote(fields.server()?, value / 1e3),
                 _ => return Ok(Message::Nothing),
             }
         }
-        "CHECK_RESULT" => Event::Probed {
-            server: fields.server()?,
-            outcome: outcome(fields)?,
-            report: report(fields)?,
-        },
+        "CHECK_RESULT" => Event::Probed(fields.server()?, outcome(fields)?, report(fields)?),
         "ELAPSED" => Event::Timer(fields.int("nonce")?),
         "MAIL" => return Ok(Message::Nothing),
         _ => return Err(format!("{name}: expected the name of an event")),
@@ -301,10 +284,7 @@
         "replace" => ListKind::Replace,
         "restored" => ListKind::Restored,
         "unavailable" => {
-            return Ok(Event::Servers {
-                kind: ListKind::Unavailable,
-                entries: Vec::new(),
-            });
+            return Ok(Event::Servers(ListKind::Unavailable, Vec::new()));
         }
         other => {
             return Err(format!(
@@ -325,10 +305,7 @@
         born: row.born,
         weight: row.weight,
     };
-    Ok(Event::Servers {
-        kind,
-        entries: rows.iter().map(entry).collect(),
-    })
+    Ok(Event::Servers(kind, rows.iter().map(entry).collect()))
 }
 
 fn request(fields: &Fields, names: &Names) -> Result<Request, String> {
@@ -386,29 +363,17 @@
 
 pub fn write_action(out: &mut impl Write, action: &Action) -> io::Result<()> {
     match action {
-        Action::Send {
-            id,
-            server,
-            timeout,
-        } => {
+        Action::Send(id, server, timeout) => {
             writeln!(out, "ROUTE id={id:016x} server={server} cap-s={timeout}")
         }
-        Action::Refuse {
-            id,
-            retry_after: None,
-        } => writeln!(out, "PUSH_BACK id={id:016x}"),
-        Action::Refuse {
-            id,
-            retry_after: Some(wait),
-        } => {
-            writeln!(out, "PUSH_BACK id={id:016x} backoff-s={wait}")
-        }
-        Action::Fail { id } => writeln!(out, "LOSE id={id:016x}"),
-        Action::Move { id } => writeln!(out, "RELOCATE id={id:016x}"),
-        Action::Cancel { id, attempt } => writeln!(out, "RECALL id={id:016x} hop={attempt}"),
-        Action::Probe { server } => writeln!(out, "TOUCH server={server}"),
+        Action::Refuse(id, None) => writeln!(out, "PUSH_BACK id={id:016x}"),
+        Action::Refuse(id, Some(wait)) => writeln!(out, "PUSH_BACK id={id:016x} backoff-s={wait}"),
+        Action::Fail(id) => writeln!(out, "LOSE id={id:016x}"),
+        Action::Move(id) => writeln!(out, "RELOCATE id={id:016x}"),
+        Action::Cancel(id, attempt) => writeln!(out, "RECALL id={id:016x} hop={attempt}"),
+        Action::Probe(server) => writeln!(out, "TOUCH server={server}"),
         Action::Subscribe => writeln!(out, "WATCH want=1"),
-        Action::Timer { after, token } => writeln!(out, "DEFER offset-s={after} nonce={token}"),
+        Action::Timer(after, token) => writeln!(out, "DEFER offset-s={after} nonce={token}"),
     }
 }
 
