--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -18,7 +18,7 @@
 /// Where only connection counts are known: the count over the servers' mean that triggers a move.
 const COUNT_TRIGGER: f64 = 1.3;
 /// Load over capacity beyond which no server is given more.
-const ADMIT: f64 = 0.9;
+const ADMIT: f64 = 0.85;
 /// Load over capacity beyond which connections go even if there is no room for them elsewhere.
 const DROWNING: f64 = 1.0;
 /// Time between two probes of a server.
@@ -30,7 +30,7 @@
 /// Connections' worth of load that a group is taken to cost on each server that holds any of it.
 const GROUP_COST: f64 = 2.0;
 /// By this many times its cost a server without the group ranks behind: the cost stays for long.
-const GROUP_SHUN: f64 = 4.0;
+const GROUP_SHUN: f64 = 8.0;
 /// A server is taken to hold at least this many usual connections.
 const LEAST_HELD: f64 = 10.0;
 /// Time constant of what is learned from this balancer's own traffic.
