--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -506,7 +506,8 @@
         let conn = |id: &RequestId| &self.state.conns[id];
         let open = |id: &&RequestId| matches!(conn(id).phase, Phase::Open(_));
         let mut own: Vec<RequestId> = server.own.iter().filter(open).copied().collect();
-        own.sort_by(|a, b| self.worth(conn(a)).total_cmp(&self.worth(conn(b))));
+        let worth = |id: &RequestId| self.worth(conn(id), server);
+        own.sort_by(|a, b| worth(a).total_cmp(&worth(b)));
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
         let room = own.first().is_some_and(|first| {
             let fits = |s: &Server| self.load_after(conn(first), s, true) < limit;
@@ -533,14 +534,23 @@
         }
     }
 
-    /// What a connection is worth for its load; little beyond its tenant's share.
-    fn worth(&self, conn: &Conn) -> f64 {
+    /// What a connection is worth for the load that leaves with it, its part of its group's cost
+    /// there included; little beyond its tenant's share.
+    fn worth(&self, conn: &Conn, server: &Server) -> f64 {
         let over = if self.over_share(&conn.request) {
             self.set.over_share_worth
         } else {
             1.0
         };
-        over * self.set.classes[conn.request.class].worth / conn.load.max(1e-9)
+        let sharers = conn
+            .request
+            .group
+            .and_then(|group| server.groups.get(&group));
+        let group = sharers
+            .filter(|_| self.set.groups)
+            .map_or(0.0, |&n| GROUP_COST / n as f64);
+        let leaves = conn.load + group * self.state.mean_load();
+        over * self.set.classes[conn.request.class].worth / leaves.max(1e-9)
     }
 }
 
