--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -11,7 +11,7 @@
 
 use crate::api::*;
 use crate::fading::Fading;
-use crate::state::{Conn, Phase, Server, State};
+use crate::state::{Conn, Phase, Server, State, spread};
 
 /// Load over capacity beyond which a connection is moved off a server.
 const THRESHOLD: f64 = 0.85;
@@ -397,7 +397,12 @@
             };
             if !conn.tried.contains(&server_id) && self.harmless(conn, entry) {
                 let after = self.load_after(conn, server, true);
-                let shun = GROUP_SHUN * (after - self.load_after(conn, server, false));
+                let group_load = after - self.load_after(conn, server, false);
+                let home = conn
+                    .request
+                    .group
+                    .map_or(0.0, |group| spread(group, server_id));
+                let shun = GROUP_SHUN * (1.0 + home) * group_load;
                 ranked.push((
                     after + shun + self.surcharge(server, entry),
                     server_id,
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -2,6 +2,7 @@
 //! those are in `policy.rs`.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::api::*;
 use crate::fading::Fading;
@@ -205,3 +206,11 @@
         Some(Conn { phase, ..conn })
     }
 }
+
+/// A number from 0 to 1 that every balancer computes alike for a group and a server
+/// (rendezvous hashing).
+pub fn spread(group: u64, server: ServerId) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    (group, server).hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
