--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -33,8 +33,8 @@
 const GROUP_SHUN: f64 = 8.0;
 /// A server is taken to hold at least this many usual connections.
 const LEAST_HELD: f64 = 10.0;
-/// Time constant of what is learned from this balancer's own traffic.
-const MEMORY: Secs = 15.0;
+/// The part of the budget that would push a cold server over which is used.
+const COLD_CARE: f64 = 0.25;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
 /// Sends per success beyond which the service as a whole is taken to be failing.
@@ -61,7 +61,6 @@
     units: BTreeMap<Option<usize>, f64>,
     unit: f64,
     mean_figure: f64,
-    placed: Fading,
     sends: Fading,
     successes: Fading,
 }
@@ -77,7 +76,6 @@
             units: BTreeMap::new(),
             unit: 1.0,
             mean_figure: 0.0,
-            placed: Fading::default(),
             sends: Fading::default(),
             successes: Fading::default(),
             set,
@@ -307,7 +305,6 @@
             return self.give_up(id, out);
         }
         self.sends.add(self.state.now, FORGIVE, 1.0);
-        self.placed.add(self.state.now, MEMORY, 1.0);
         let gap = self.cold_gap(&self.state.servers[&to]);
         let load = self.added_load(&self.state.conns[&id], &self.state.servers[&to]);
         self.state.join(id, to, Phase::Out(to));
@@ -474,18 +471,11 @@
         };
         let rest = (cold_end(entry, &self.set) - self.state.now) / self.set.cold_for;
         let share = 1.0 - (1.0 - self.set.cold_from) * rest.min(1.0);
-        let up = self
-            .state
-            .servers
-            .values()
-            .filter(|s| s.up())
-            .count()
-            .max(1) as f64;
-        // At its mean figure a warm server takes this many connections a second of this balancer.
-        let warm =
-            self.placed.get(self.state.now, MEMORY) / MEMORY / up / self.mean_figure.max(0.2);
-        let gap = 2.0 / (self.set.fall_multiple * share * warm);
-        gap.clamp(self.set.fall_for / 4.0, self.set.cold_for / 2.0)
+        // No more than this balancer's part of a careful share of the fall budget, if a warm server
+        // is filled with usual connections over the time that it takes to get warm.
+        let full = 1.0 / (self.unit_of(server) * self.state.mean_load()).max(1e-3);
+        let budget = COLD_CARE * self.set.fall_multiple * share * full / self.set.cold_for;
+        (self.set.fleet_size as f64 / budget).min(self.set.cold_for / 2.0)
     }
 
     // Moves.
