--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -165,13 +165,13 @@
                 // What is known of the old process no longer holds.
                 (server.figure, server.suspect, server.errors) = Default::default();
             }
-            if (restarted || server.entry.is_none()) && self.state.now < cold_end(&entry, &self.set)
-            {
+            let fresh = restarted || server.entry.is_none();
+            let up = entry.status == Status::Up;
+            server.entry = Some(entry);
+            if fresh && server.cold_rest(self.state.now, &self.set) > 0.0 {
                 // Proxies hear of a cold server together: their first connections are spread out.
                 server.cold_until = self.state.now + self.rng.random_range(0.0..self.set.fall_for);
             }
-            let up = entry.status == Status::Up;
-            server.entry = Some(entry);
             if up && !server.probing && self.set.may_probe {
                 server.probing = true;
                 out.push(Action::Probe(id));
@@ -225,8 +225,11 @@
     fn learn_units(&mut self) {
         let mut sums: BTreeMap<Option<usize>, (f64, f64)> = BTreeMap::new();
         let (mut figures, mut load, mut heard) = (0.0, 0.0, 0.0);
-        // A server cut off keeps its old figure while all own connections to it are lost.
-        for server in self.state.servers.values().filter(|s| s.up() && !s.suspect) {
+        // A server cut off keeps its old figure while all own connections to it are lost; a cold one
+        // is not yet what it will be, and alone of its kind would seem boundless.
+        let warm =
+            |s: &&Server| s.up() && !s.suspect && s.cold_rest(self.state.now, &self.set) == 0.0;
+        for server in self.state.servers.values().filter(warm) {
             let Some(figure) = server.figure else {
                 continue;
             };
@@ -462,20 +465,17 @@
 
     /// The least time between two connections to a cold server, from what warm ones take.
     fn cold_gap(&self, server: &Server) -> Secs {
-        let Some(entry) = server
-            .entry
-            .as_ref()
-            .filter(|e| self.state.now < cold_end(e, &self.set))
-        else {
+        let rest = server.cold_rest(self.state.now, &self.set);
+        if rest == 0.0 {
             return 0.0;
-        };
-        let rest = (cold_end(entry, &self.set) - self.state.now) / self.set.cold_for;
-        let share = 1.0 - (1.0 - self.set.cold_from) * rest.min(1.0);
+        }
+        let share = 1.0 - (1.0 - self.set.cold_from) * rest;
         // No more than this balancer's part of a careful share of the fall budget, if a warm server
         // is filled with usual connections over the time that it takes to get warm.
         let full = 1.0 / (self.unit_of(server) * self.state.mean_load()).max(1e-3);
         let budget = COLD_CARE * self.set.fall_multiple * share * full / self.set.cold_for;
-        (self.set.fleet_size as f64 / budget).min(self.set.cold_for / 2.0)
+        (self.set.fleet_size as f64 / budget)
+            .clamp(self.set.fall_for / 4.0, self.set.cold_for / 2.0)
     }
 
     // Moves.
@@ -548,10 +548,3 @@
         over * self.set.classes[conn.request.class].worth / leaves.max(1e-9)
     }
 }
-
-/// When a server is warm at the latest.
-fn cold_end(entry: &Entry, set: &Settings) -> Secs {
-    entry
-        .born
-        .map_or(f64::NEG_INFINITY, |born| born + set.cold_for)
-}
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -38,6 +38,13 @@
             .is_some_and(|entry| entry.status == Status::Up)
     }
 
+    /// The part of the warm-up that is still to come; 0 for a warm server.
+    pub fn cold_rest(&self, now: Secs, set: &Settings) -> f64 {
+        let born = self.entry.as_ref().and_then(|entry| entry.born);
+        let rest = born.map_or(0.0, |born| (born + set.cold_for - now) / set.cold_for);
+        rest.clamp(0.0, 1.0)
+    }
+
     pub fn kind(&self) -> Option<usize> {
         self.entry.as_ref().and_then(|entry| entry.kind)
     }
