--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -34,7 +34,7 @@
 /// A server is taken to hold at least this many usual connections.
 const LEAST_HELD: f64 = 10.0;
 /// The part of the budget that would push a cold server over which is used.
-const COLD_CARE: f64 = 0.5;
+const COLD_CARE: f64 = 1.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
 /// Sends per success beyond which the service as a whole is taken to be failing.
