--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -37,7 +37,7 @@
 const COLD_CARE: f64 = 1.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
-/// Sends per success beyond which the service as a whole is taken to be failing.
+/// Attempts per success beyond which the service as a whole is taken to be failing.
 const TOLERATED: f64 = 2.0;
 /// How often requests that found no server are tried again.
 const WAIT_EVERY: Secs = 0.05;
@@ -61,7 +61,7 @@
     units: BTreeMap<Option<usize>, f64>,
     unit: f64,
     mean_figure: f64,
-    sends: Fading,
+    failures: Fading,
     successes: Fading,
 }
 
@@ -76,7 +76,7 @@
             units: BTreeMap::new(),
             unit: 1.0,
             mean_figure: 0.0,
-            sends: Fading::default(),
+            failures: Fading::default(),
             successes: Fading::default(),
             set,
         }
@@ -263,14 +263,15 @@
         if was_out && !outcome.never_ran() {
             conn.may_have_run.get_or_insert((server, conn.sent_at));
         }
-        match outcome {
-            Outcome::ConnectFailed => self.state.server(server, |s| s.suspect = true),
-            Outcome::Error | Outcome::Full | Outcome::TimedOut | Outcome::Reset if was_out => {
-                let now = self.state.now;
-                self.state
-                    .server(server, |s| s.errors.add(now, FORGIVE, 1.0));
-            }
-            _ => {}
+        let now = self.state.now;
+        if was_out && !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::NotSent) {
+            let silent = matches!(outcome, Outcome::ConnectFailed | Outcome::TimedOut);
+            self.state.server(server, |s| s.suspect |= silent);
+            self.state
+                .server(server, |s| s.errors.add(now, FORGIVE, 1.0));
+            // A server out of reach says nothing about what all servers share.
+            self.failures
+                .add(now, FORGIVE, if silent { 0.0 } else { 1.0 });
         }
         if ended.last {
             self.state.forget(id);
@@ -307,7 +308,6 @@
         if after > self.limit(id) {
             return self.give_up(id, out);
         }
-        self.sends.add(self.state.now, FORGIVE, 1.0);
         let gap = self.cold_gap(&self.state.servers[&to]);
         let load = self.added_load(&self.state.conns[&id], &self.state.servers[&to]);
         self.state.join(id, to, Phase::Out(to));
@@ -319,12 +319,12 @@
         out.push(Action::Send(id, to, left.min(aim.max(left / 2.0))));
     }
 
-    /// When far more is sent than begins, whatever the server, what they share is failing, such as
+    /// When far more fails than begins, whatever the server, what they share is failing, such as
     /// the store that set-up needs: sending more keeps it down (adaptive throttling).
     fn throttled(&mut self) -> bool {
-        let sends = self.sends.get(self.state.now, FORGIVE);
         let successes = self.successes.get(self.state.now, FORGIVE);
-        let excess = (sends - TOLERATED * successes - 5.0) / (sends + 1.0);
+        let ended = self.failures.get(self.state.now, FORGIVE) + successes;
+        let excess = (ended - TOLERATED * successes - 5.0) / (ended + 1.0);
         self.rng.random::<f64>() < excess
     }
 
