--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -55,6 +55,8 @@
 pub struct Settings {
     pub fleet_size: usize,
     pub zone: Option<usize>,
+    /// How many zones there are.
+    pub zones: usize,
     pub classes: Vec<Class>,
     pub tenants: Vec<Tenant>,
     pub report_fields: Vec<Field>,
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -57,7 +57,8 @@
     waiting: BTreeSet<RequestId>,
     wait_timer: bool,
     subscribed: bool,
-    /// What one unit of load adds to the figure of a server of each kind, and of any.
+    /// What one unit of load adds to the figure of a server of each kind, and of any; little until
+    /// told, or the first requests would all seem too much.
     units: BTreeMap<Option<usize>, f64>,
     unit: f64,
     mean_figure: f64,
@@ -74,7 +75,7 @@
             wait_timer: false,
             subscribed: false,
             units: BTreeMap::new(),
-            unit: 1.0,
+            unit: 0.01,
             mean_figure: 0.0,
             failures: Fading::default(),
             successes: Fading::default(),
@@ -220,15 +221,25 @@
         }
     }
 
-    /// Learns what a unit of load adds to a figure: servers of a kind are alike, and this
-    /// balancer carries its part of the fleet's load. Own load alone is too little on one server.
+    /// How many balancers place on the same servers: zones keep to themselves while they can.
+    fn sharers(&self) -> f64 {
+        (self.set.fleet_size as f64 / self.set.zones.max(1) as f64).max(1.0)
+    }
+
+    /// Learns what a unit of load adds to a figure from this zone's servers: those of a kind are
+    /// alike, and this balancer carries its part of the zone's load.
     fn learn_units(&mut self) {
         let mut sums: BTreeMap<Option<usize>, (f64, f64)> = BTreeMap::new();
         let (mut figures, mut load, mut heard) = (0.0, 0.0, 0.0);
         // A server cut off keeps its old figure while all own connections to it are lost; a cold one
         // is not yet what it will be, and alone of its kind would seem boundless.
-        let warm =
-            |s: &&Server| s.up() && !s.suspect && s.cold_rest(self.state.now, &self.set) == 0.0;
+        let warm = |s: &&Server| {
+            let near = s
+                .entry
+                .as_ref()
+                .is_some_and(|entry| entry.zone == self.set.zone);
+            near && s.up() && !s.suspect && s.cold_rest(self.state.now, &self.set) == 0.0
+        };
         for server in self.state.servers.values().filter(warm) {
             let Some(figure) = server.figure else {
                 continue;
@@ -240,10 +251,11 @@
         if heard > 0.0 {
             self.mean_figure = figures / heard;
         }
-        let fleet = self.set.fleet_size as f64;
+        let sharers = self.sharers();
         // After an own restart little own load stands beside all the others': bounded.
         let most = 1.0 / (LEAST_HELD * self.state.mean_load());
-        let unit = |figure: f64, load: f64| (load > 0.0).then(|| (figure / load / fleet).min(most));
+        let unit =
+            |figure: f64, load: f64| (load > 0.0).then(|| (figure / load / sharers).min(most));
         self.unit = unit(figures, load).unwrap_or(self.unit);
         self.units.clear();
         for (kind, (figure, load)) in sums {
@@ -434,7 +446,7 @@
     /// The probed figure, and own changes since, with as many by each peer.
     fn load_now(&self, server: &Server) -> f64 {
         let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
-        let pending = pending * self.unit_of(server) * self.set.fleet_size as f64;
+        let pending = pending * self.unit_of(server) * self.sharers();
         server.figure.unwrap_or(self.mean_figure) + pending
     }
 
@@ -518,7 +530,7 @@
         };
         let most = if room { 1 } else { all };
         // Peers see the same figure: all together should move what is over, not each of them.
-        let unit = self.unit_of(server) * self.set.fleet_size as f64;
+        let unit = self.unit_of(server) * self.sharers();
         let mut over = load_now - if room { limit } else { DROWNING };
         for id in own.into_iter().take(most) {
             let eases = conn(&id).load * unit;
