--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -57,10 +57,8 @@
     waiting: BTreeSet<RequestId>,
     wait_timer: bool,
     subscribed: bool,
-    /// What one unit of load adds to the figure of a server of each kind, and of any; little until
-    /// told, or the first requests would all seem too much.
+    /// What one unit of load adds to the figure of a server of each kind, and of any (`None`).
     units: BTreeMap<Option<usize>, f64>,
-    unit: f64,
     mean_figure: f64,
     failures: Fading,
     successes: Fading,
@@ -74,8 +72,8 @@
             waiting: BTreeSet::new(),
             wait_timer: false,
             subscribed: false,
-            units: BTreeMap::new(),
-            unit: 0.01,
+            // Little until it is learned, or the first requests would all seem too much.
+            units: BTreeMap::from([(None, 0.01)]),
             mean_figure: 0.0,
             failures: Fading::default(),
             successes: Fading::default(),
@@ -226,41 +224,40 @@
         (self.set.fleet_size as f64 / self.set.zones.max(1) as f64).max(1.0)
     }
 
-    /// Learns what a unit of load adds to a figure from this zone's servers: those of a kind are
-    /// alike, and this balancer carries its part of the zone's load.
+    /// Learns what a unit of load adds to a figure, from servers of a kind together and most from
+    /// those that hold most of this balancer's load, as its peers' load is unknown.
     fn learn_units(&mut self) {
         let mut sums: BTreeMap<Option<usize>, (f64, f64)> = BTreeMap::new();
-        let (mut figures, mut load, mut heard) = (0.0, 0.0, 0.0);
+        let (mut figures, mut heard) = (0.0, 0.0);
         // A server cut off keeps its old figure while all own connections to it are lost; a cold one
         // is not yet what it will be, and alone of its kind would seem boundless.
-        let warm = |s: &&Server| {
-            let near = s
-                .entry
-                .as_ref()
-                .is_some_and(|entry| entry.zone == self.set.zone);
-            near && s.up() && !s.suspect && s.cold_rest(self.state.now, &self.set) == 0.0
-        };
-        for server in self.state.servers.values().filter(warm) {
-            let Some(figure) = server.figure else {
-                continue;
-            };
-            let sum = sums.entry(server.kind()).or_default();
-            *sum = (sum.0 + figure, sum.1 + server.load);
-            (figures, load, heard) = (figures + figure, load + server.load, heard + 1.0);
+        let cold = |s: &Server| s.cold_rest(self.state.now, &self.set) > 0.0;
+        for server in self
+            .state
+            .servers
+            .values()
+            .filter(|s| s.up() && !s.suspect && !cold(s))
+        {
+            if let Some(figure) = server.figure {
+                (figures, heard) = (figures + figure, heard + 1.0);
+                for kind in [server.kind(), None] {
+                    let sum = sums.entry(kind).or_default();
+                    *sum = (
+                        sum.0 + figure * server.load,
+                        sum.1 + server.load * server.load,
+                    );
+                }
+            }
         }
         if heard > 0.0 {
             self.mean_figure = figures / heard;
         }
-        let sharers = self.sharers();
         // After an own restart little own load stands beside all the others': bounded.
         let most = 1.0 / (LEAST_HELD * self.state.mean_load());
-        let unit =
-            |figure: f64, load: f64| (load > 0.0).then(|| (figure / load / sharers).min(most));
-        self.unit = unit(figures, load).unwrap_or(self.unit);
-        self.units.clear();
-        for (kind, (figure, load)) in sums {
+        self.units.retain(|kind, _| kind.is_none());
+        for (kind, (figure, load)) in sums.into_iter().filter(|(_, sum)| sum.1 > 0.0) {
             self.units
-                .extend(unit(figure, load).map(|unit| (kind, unit)));
+                .insert(kind, (figure / load / self.sharers()).min(most));
         }
     }
 
@@ -423,7 +420,7 @@
             }
         }
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
-        let near = best + self.unit * conn.load * (self.set.fleet_size - 1) as f64 / 2.0;
+        let near = best + self.units[&None] * conn.load * (self.set.fleet_size - 1) as f64 / 2.0;
         ranked.retain(|r| r.0 <= near);
         let pick = self.rng.random_range(0..ranked.len().max(1));
         ranked.get(pick).map(|r| (r.1, r.2))
@@ -451,7 +448,10 @@
     }
 
     fn unit_of(&self, server: &Server) -> f64 {
-        *self.units.get(&server.kind()).unwrap_or(&self.unit)
+        self.units
+            .get(&server.kind())
+            .copied()
+            .unwrap_or(self.units[&None])
     }
 
     /// A connection's own load, and its group's where the server holds none of it.
