--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -41,8 +41,8 @@
 const TOLERATED: f64 = 2.0;
 /// How often requests that found no server are tried again.
 const WAIT_EVERY: Secs = 0.05;
-/// Ranks a server that does not answer behind all that do.
-const SUSPECT: f64 = 100.0;
+/// Recent failures beyond which a server is ejected until they are forgiven.
+const EJECT: f64 = 3.0;
 
 const TIMER_ASK: u64 = 0;
 const TIMER_WAIT: u64 = 1;
@@ -302,9 +302,10 @@
         if left <= 0.0 || attempts >= self.set.max_attempts || self.throttled() {
             return self.give_up(id, out);
         }
-        let Some((to, after)) = self.choose(id) else {
-            // A restarted or wholly cold fleet: a server may turn up soon.
-            if attempts > 0 || left <= aim {
+        let Some(to) = self.choose(id) else {
+            // A restarted or wholly cold fleet: a server may turn up soon. A full one is no reason.
+            let open = self.state.servers.values().any(|s| self.open(s));
+            if open || attempts > 0 || left <= aim {
                 return self.give_up(id, out);
             }
             self.waiting.insert(id);
@@ -314,9 +315,6 @@
             }
             return;
         };
-        if after > self.limit(id) {
-            return self.give_up(id, out);
-        }
         let gap = self.cold_gap(&self.state.servers[&to]);
         let load = self.added_load(&self.state.conns[&id], &self.state.servers[&to]);
         self.state.join(id, to, Phase::Out(to));
@@ -338,12 +336,12 @@
     }
 
     /// The load over capacity up to which a server may be filled with this request.
-    fn limit(&self, id: RequestId) -> f64 {
+    fn limit(&self, request: &Request) -> f64 {
         if !self.set.report_fields.contains(&Field::Load) {
             return f64::INFINITY;
         }
         // What a tenant sends beyond its share goes first when room gets short.
-        let over = self.over_share(&self.state.conns[&id].request);
+        let over = self.over_share(request);
         if over { THRESHOLD } else { ADMIT }
     }
 
@@ -371,23 +369,20 @@
     }
 
     /// Whether another attempt on `server` could do no harm by running twice.
-    fn harmless(&self, conn: &Conn, server: &Entry) -> bool {
+    fn harmless(&self, conn: &Conn, server: &Server) -> bool {
         let class = &self.set.classes[conn.request.class];
         let Some((first, at)) = conn.may_have_run else {
             return true;
         };
-        let Some(first) = self
-            .state
-            .servers
-            .get(&first)
-            .and_then(|s| s.entry.as_ref())
-        else {
-            return class.effect == Effect::Safe;
-        };
+        let entry = |server: &Server| server.entry.as_ref().map(|e| (e.zone, e.cell));
+        let (first, next) = (
+            self.state.servers.get(&first).and_then(entry),
+            entry(server),
+        );
         let together = match class.scope {
             Scope::All => true,
-            Scope::Zone => server.zone == first.zone,
-            Scope::Cell => server.cell == first.cell,
+            Scope::Zone => first.is_some() && first.map(|e| e.0) == next.map(|e| e.0),
+            Scope::Cell => first.is_some() && first.map(|e| e.1) == next.map(|e| e.1),
         };
         class.effect == Effect::Safe
             || class.effect == Effect::Keyed && together && self.state.now < at + class.window
@@ -395,41 +390,44 @@
 
     // Ranking.
 
-    /// The lowest-ranked server the request may go to and its load then. Near-equals are drawn
+    /// The lowest-ranked server that has room and that the request may go to. Near-equals are drawn
     /// from at random, since other proxies see the same lowest one.
-    fn choose(&mut self, id: RequestId) -> Option<(ServerId, f64)> {
+    fn choose(&mut self, id: RequestId) -> Option<ServerId> {
         let conn = &self.state.conns[&id];
-        let mut ranked: Vec<(f64, ServerId, f64)> = Vec::new();
-        for (&server_id, server) in &self.state.servers {
-            let Some(entry) = server.entry.as_ref().filter(|_| self.open(server)) else {
-                continue;
-            };
-            if !conn.tried.contains(&server_id) && self.harmless(conn, entry) {
-                let after = self.load_after(conn, server, true);
+        let limit = self.limit(&conn.request);
+        // Outlier ejection: silent and failing servers get nothing while there are others.
+        let sound = self
+            .state
+            .servers
+            .values()
+            .any(|s| self.open(s) && !self.ejected(s));
+        let mut ranked: Vec<(f64, ServerId)> = Vec::new();
+        for (&id, server) in self.state.servers.iter().filter(|(_, s)| self.open(s)) {
+            let after = self.load_after(conn, server, true);
+            let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
+            // Room before rank: a group's full server must not hide an idle one.
+            if !barred && after <= limit && !(sound && self.ejected(server)) {
                 let group_load = after - self.load_after(conn, server, false);
-                let home = conn
-                    .request
-                    .group
-                    .map_or(0.0, |group| spread(group, server_id));
+                let home = conn.request.group.map_or(0.0, |group| spread(group, id));
                 let shun = GROUP_SHUN * (1.0 + home) * group_load;
-                ranked.push((
-                    after + shun + self.surcharge(server, entry),
-                    server_id,
-                    after,
-                ));
+                ranked.push((after + shun + self.surcharge(server), id));
             }
         }
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
         let near = best + self.units[&None] * conn.load * (self.set.fleet_size - 1) as f64 / 2.0;
         ranked.retain(|r| r.0 <= near);
         let pick = self.rng.random_range(0..ranked.len().max(1));
-        ranked.get(pick).map(|r| (r.1, r.2))
+        ranked.get(pick).map(|r| r.1)
     }
 
     fn open(&self, server: &Server) -> bool {
         server.up() && self.state.now >= server.cold_until
     }
 
+    fn ejected(&self, server: &Server) -> bool {
+        server.suspect || server.errors.get(self.state.now, FORGIVE) > EJECT
+    }
+
     /// A server's load with the request on it, and with what its group then costs there.
     fn load_after(&self, conn: &Conn, server: &Server, group: bool) -> f64 {
         let added = if group {
@@ -463,16 +461,16 @@
         conn.load + group.map_or(0.0, |_| GROUP_COST * self.state.mean_load())
     }
 
-    /// What else counts against a server: failures, silence, and the price of another zone.
-    fn surcharge(&self, server: &Server, entry: &Entry) -> f64 {
-        let crosses = entry.zone.is_some() && entry.zone != self.set.zone;
+    /// What else counts against a server: failures, and the price of another zone.
+    fn surcharge(&self, server: &Server) -> f64 {
+        let zone = server.entry.as_ref().and_then(|entry| entry.zone);
+        let crosses = zone.is_some() && zone != self.set.zone;
         let cross = if crosses {
             CROSS_LOAD * self.set.price_cross_zone
         } else {
             0.0
         };
-        let suspect = if server.suspect { SUSPECT } else { 0.0 };
-        cross + suspect + server.errors.get(self.state.now, FORGIVE)
+        cross + server.errors.get(self.state.now, FORGIVE)
     }
 
     /// The least time between two connections to a cold server, from what warm ones take.
