--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -19,6 +19,8 @@
 const COUNT_TRIGGER: f64 = 1.3;
 /// Load over capacity beyond which no server is given more.
 const ADMIT: f64 = 0.85;
+/// The part of `ADMIT` that all servers are filled to when room begins to be short.
+const SCARCE: f64 = 0.7;
 /// Load over capacity beyond which connections go even if there is no room for them elsewhere.
 const DROWNING: f64 = 1.0;
 /// Time between two probes of a server.
@@ -229,23 +231,18 @@
     fn learn_units(&mut self) {
         let mut sums: BTreeMap<Option<usize>, (f64, f64)> = BTreeMap::new();
         let (mut figures, mut heard) = (0.0, 0.0);
-        // A server cut off keeps its old figure while all own connections to it are lost; a cold one
-        // is not yet what it will be, and alone of its kind would seem boundless.
-        let cold = |s: &Server| s.cold_rest(self.state.now, &self.set) > 0.0;
-        for server in self
-            .state
-            .servers
-            .values()
-            .filter(|s| s.up() && !s.suspect && !cold(s))
-        {
-            if let Some(figure) = server.figure {
-                (figures, heard) = (figures + figure, heard + 1.0);
+        // A server cut off keeps its old figure while all own connections to it are lost.
+        let sound = |s: &&Server| s.up() && !s.suspect;
+        for server in self.state.servers.values().filter(sound) {
+            let (Some(figure), load) = (server.figure, server.load) else {
+                continue;
+            };
+            (figures, heard) = (figures + figure, heard + 1.0);
+            // A cold one is not yet what it will be, and alone of its kind would seem boundless.
+            if server.cold_rest(self.state.now, &self.set) == 0.0 {
                 for kind in [server.kind(), None] {
                     let sum = sums.entry(kind).or_default();
-                    *sum = (
-                        sum.0 + figure * server.load,
-                        sum.1 + server.load * server.load,
-                    );
+                    *sum = (sum.0 + figure * load, sum.1 + load * load);
                 }
             }
         }
@@ -401,16 +398,20 @@
             .servers
             .values()
             .any(|s| self.open(s) && !self.ejected(s));
+        // Room before rank: a group's full server must not hide an idle one. But as room gets short
+        // everywhere, a further share of a group costs room that is wanted more elsewhere.
+        let scarcity = ((self.mean_figure / ADMIT - SCARCE) / (1.0 - SCARCE)).clamp(0.0, 1.0);
         let mut ranked: Vec<(f64, ServerId)> = Vec::new();
         for (&id, server) in self.state.servers.iter().filter(|(_, s)| self.open(s)) {
             let after = self.load_after(conn, server, true);
             let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
-            // Room before rank: a group's full server must not hide an idle one.
-            if !barred && after <= limit && !(sound && self.ejected(server)) {
+            if !barred && !(sound && self.ejected(server)) {
                 let group_load = after - self.load_after(conn, server, false);
                 let home = conn.request.group.map_or(0.0, |group| spread(group, id));
                 let shun = GROUP_SHUN * (1.0 + home) * group_load;
-                ranked.push((after + shun + self.surcharge(server), id));
+                if after + shun * scarcity <= limit {
+                    ranked.push((after + shun + self.surcharge(server), id));
+                }
             }
         }
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
