--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -60,7 +60,6 @@
     pub classes: Vec<Class>,
     pub tenants: Vec<Tenant>,
     pub report_fields: Vec<Field>,
-    pub connect_timeout: Secs,
     pub max_attempts: usize,
     pub max_retry_after: Secs,
     pub may_retry_after: bool,
@@ -75,9 +74,8 @@
     pub fall_for: Secs,
     /// Connections of one group share work on a server.
     pub groups: bool,
-    /// What is lost per request that crosses zones, per connection moved, and per worth over share.
+    /// What a request that crosses zones costs, and what one beyond its tenant's share is worth.
     pub price_cross_zone: f64,
-    pub price_move: f64,
     pub over_share_worth: f64,
 }
 
@@ -98,7 +96,6 @@
     pub cell: u64,
     /// When the process last started, unless that is long ago.
     pub born: Option<Secs>,
-    pub weight: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -21,6 +21,8 @@
 const ADMIT: f64 = 0.85;
 /// The part of `ADMIT` that all servers are filled to when room begins to be short.
 const SCARCE: f64 = 0.7;
+/// The part of `ADMIT` that servers are filled to with what a tenant sends beyond its share.
+const OVER_SHARE: f64 = 0.9;
 /// Load over capacity beyond which connections go even if there is no room for them elsewhere.
 const DROWNING: f64 = 1.0;
 /// Time between two probes of a server.
@@ -195,8 +197,9 @@
     // Probes and what they tell.
 
     fn on_probe_timer(&mut self, token: u64, out: &mut Vec<Action>) {
-        let id = (token - TIMER_PROBE) as ServerId;
-        let Some(server) = self.state.servers.get_mut(&id) else {
+        let id = token.checked_sub(TIMER_PROBE).map(|id| id as ServerId);
+        let Some((id, server)) = id.and_then(|id| Some((id, self.state.servers.get_mut(&id)?)))
+        else {
             return;
         };
         server.probing = server.up();
@@ -339,7 +342,7 @@
         }
         // What a tenant sends beyond its share goes first when room gets short.
         let over = self.over_share(request);
-        if over { THRESHOLD } else { ADMIT }
+        if over { OVER_SHARE * ADMIT } else { ADMIT }
     }
 
     fn over_share(&self, request: &Request) -> bool {
@@ -405,7 +408,7 @@
         for (&id, server) in self.state.servers.iter().filter(|(_, s)| self.open(s)) {
             let after = self.load_after(conn, server, true);
             let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
-            if !barred && !(sound && self.ejected(server)) {
+            if !(barred || sound && self.ejected(server)) {
                 let group_load = after - self.load_after(conn, server, false);
                 let home = conn.request.group.map_or(0.0, |group| spread(group, id));
                 let shun = GROUP_SHUN * (1.0 + home) * group_load;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -75,6 +75,9 @@
     pub now: Secs,
     pub servers: BTreeMap<ServerId, Server>,
     pub conns: BTreeMap<RequestId, Conn>,
+    /// The load and number of own connections and attempts.
+    load: f64,
+    joined: usize,
     /// Own connections and attempts of each tenant.
     pub tenants: Vec<usize>,
     /// Per class: loads told and their number.
@@ -87,6 +90,8 @@
             now: 0.0,
             servers: BTreeMap::new(),
             conns: BTreeMap::new(),
+            load: 0.0,
+            joined: 0,
             tenants: vec![0; tenants],
             loads: vec![Default::default(); classes],
         }
@@ -110,8 +115,7 @@
 
     /// The mean load of own connections and attempts.
     pub fn mean_load(&self) -> f64 {
-        let own: usize = self.servers.values().map(|s| s.own.len()).sum();
-        self.servers.values().map(|s| s.load).sum::<f64>() / own.max(1) as f64
+        self.load / self.joined.max(1) as f64
     }
 
     pub fn adopt(&mut self, request: Request) {
@@ -126,6 +130,7 @@
             may_have_run: None,
             load: request
                 .hint
+                .filter(|hint| hint.is_finite() && *hint >= 0.0)
                 .unwrap_or_else(|| self.class_load(request.class)),
             request,
         };
@@ -164,6 +169,7 @@
         sum.add(self.now, MEMORY, load);
         number.add(self.now, MEMORY, 1.0);
         if let Phase::Out(server) | Phase::Open(server) = conn.phase {
+            self.load += change;
             self.server(server, |server| server.load += change);
         }
     }
@@ -178,6 +184,8 @@
         let server = self.servers.entry(to).or_default();
         server.own.insert(id);
         server.load += conn.load;
+        self.load += conn.load;
+        self.joined += 1;
         if let Some(group) = conn.request.group {
             *server.groups.entry(group).or_default() += 1;
         }
@@ -194,6 +202,8 @@
         let server = self.servers.get_mut(&from).expect("joined before");
         server.own.remove(&id);
         server.load = (server.load - conn.load).max(0.0);
+        self.load = (self.load - conn.load).max(0.0);
+        self.joined -= 1;
         if let Some(group) = conn.request.group {
             let left = server.groups.get_mut(&group).expect("joined before");
             *left -= 1;
--- /dev/null
+++ b/crates/balancer/tests/common/mod.rs
@@ -0,0 +1,163 @@
+//! Drives the module alone: a balancer with a clock, and shorthands for events.
+#![allow(dead_code)]
+
+use violetwind_balancer::Balancer;
+use violetwind_balancer::api::*;
+
+pub struct Bench {
+    pub balancer: Balancer,
+    pub now: Secs,
+}
+
+pub fn class(effect: Effect, scope: Scope) -> Class {
+    Class {
+        effect,
+        scope,
+        window: 5.0,
+        aim: 0.5,
+        worth: 1.0,
+    }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        fleet_size: 1,
+        zone: Some(0),
+        zones: 1,
+        classes: vec![class(Effect::Safe, Scope::All)],
+        tenants: Vec::new(),
+        report_fields: vec![Field::Load],
+        max_attempts: 3,
+        max_retry_after: 1.0,
+        may_retry_after: true,
+        may_probe: true,
+        may_cancel: true,
+        must_ask: false,
+        ask_within: 10.0,
+        cold_from: 0.2,
+        cold_for: 10.0,
+        fall_multiple: 3.0,
+        fall_for: 2.0,
+        groups: false,
+        price_cross_zone: 0.1,
+        over_share_worth: 0.1,
+    }
+}
+
+pub fn entry(server: ServerId) -> Entry {
+    Entry {
+        server,
+        status: Status::Up,
+        zone: Some(0),
+        kind: Some(0),
+        cell: 0,
+        born: None,
+    }
+}
+
+pub fn request(id: RequestId) -> Request {
+    Request {
+        id,
+        class: 0,
+        tenant: None,
+        group: None,
+        hint: Some(0.1),
+        patience: 2.0,
+    }
+}
+
+pub fn load(load: f64) -> Report {
+    Report {
+        load: Some(load),
+        ..Report::default()
+    }
+}
+
+/// Where the request was sent, if it was.
+pub fn sent_to(actions: &[Action], id: RequestId) -> Option<ServerId> {
+    actions.iter().find_map(|action| match action {
+        Action::Send(sent, server, _) if *sent == id => Some(*server),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> Vec<RequestId> {
+    let refused = |action: &Action| match action {
+        Action::Refuse(id, _) => Some(*id),
+        _ => None,
+    };
+    actions.iter().filter_map(refused).collect()
+}
+
+pub fn moved(actions: &[Action]) -> Vec<RequestId> {
+    let moved = |action: &Action| match action {
+        Action::Move(id) => Some(*id),
+        _ => None,
+    };
+    actions.iter().filter_map(moved).collect()
+}
+
+impl Bench {
+    pub fn new(settings: Settings, entries: Vec<Entry>, seed: u64) -> Self {
+        let mut bench = Self {
+            balancer: Balancer::new(settings, seed),
+            now: 100.0,
+        };
+        bench.on(Event::Start);
+        bench.on(Event::Servers(ListKind::Restored, entries));
+        bench
+    }
+
+    pub fn on(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    pub fn report(&mut self, server: ServerId, figure: f64) -> Vec<Action> {
+        self.on(Event::Probed(server, Outcome::Ok, load(figure)))
+    }
+
+    pub fn silent(&mut self, server: ServerId) {
+        self.on(Event::Probed(server, Outcome::TimedOut, Report::default()));
+    }
+
+    pub fn place(&mut self, id: RequestId) -> Option<ServerId> {
+        let actions = self.on(Event::Request(request(id)));
+        sent_to(&actions, id)
+    }
+
+    pub fn end(&mut self, id: RequestId, server: ServerId, outcome: Outcome) -> Vec<Action> {
+        self.finish(id, server, outcome, false)
+    }
+
+    pub fn finish(
+        &mut self,
+        id: RequestId,
+        server: ServerId,
+        outcome: Outcome,
+        last: bool,
+    ) -> Vec<Action> {
+        let report = Report::default();
+        self.on(Event::Outcome(Ended {
+            id,
+            server,
+            outcome,
+            last,
+            report,
+        }))
+    }
+
+    /// Opens connections with these loads on a server, named from `first` on.
+    pub fn open(&mut self, server: ServerId, first: RequestId, loads: &[f64]) {
+        for (id, load) in (first..).zip(loads) {
+            self.on(Event::Open(
+                Request {
+                    hint: Some(*load),
+                    ..request(id)
+                },
+                server,
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/balancer/tests/failures.rs
@@ -0,0 +1,340 @@
+//! Failures found on the bench, each in the smallest form that shows it.
+
+mod common;
+
+use common::*;
+use violetwind_balancer::api::*;
+
+#[test]
+fn first_requests_are_placed_before_anything_is_known() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    for id in 0..20 {
+        let actions = bench.on(Event::Request(Request {
+            hint: None,
+            ..request(id)
+        }));
+        assert!(sent_to(&actions, id).is_some(), "request {id}: {actions:?}");
+    }
+}
+
+/// A server that shed all its connections looked empty and was refilled at once, by all proxies.
+#[test]
+fn connections_lost_are_not_taken_for_room() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    bench.open(1, 1000, &[0.1; 10]);
+    bench.open(2, 2000, &[0.1; 10]);
+    bench.report(1, 0.8);
+    bench.report(2, 0.5);
+    for id in 1000..1010 {
+        bench.finish(id, 1, Outcome::Reset, true);
+    }
+    assert_eq!(bench.place(9), Some(2));
+}
+
+/// While the store that set-up needs was down, every request was tried on every server.
+#[test]
+fn when_every_server_fails_requests_are_soon_refused_at_once() {
+    let mut bench = Bench::new(settings(), (1..=30).map(entry).collect(), 3);
+    let mut attempts = 0;
+    for id in 0..200 {
+        bench.now += 0.02;
+        let mut actions = bench.on(Event::Request(request(id)));
+        while let Some(server) = sent_to(&actions, id) {
+            attempts += 1;
+            actions = bench.end(id, server, Outcome::Error);
+        }
+        assert_eq!(refused(&actions), [id]);
+    }
+    assert!(
+        attempts < 150,
+        "{attempts} attempts for 200 requests that cannot succeed"
+    );
+}
+
+/// Time-outs at a cut-off zone had the reachable zone refused at half load.
+#[test]
+fn servers_out_of_reach_do_not_throttle_the_others() {
+    let mut bench = Bench::new(settings(), (1..=40).map(entry).collect(), 3);
+    for server in 2..=40 {
+        bench.report(server, 0.1);
+    }
+    bench.report(1, 0.3);
+    for id in 0..30 {
+        let server = bench.place(id).expect("sent");
+        if server != 1 {
+            bench.end(id, server, Outcome::TimedOut);
+        }
+    }
+    (2..=40).for_each(|server| bench.silent(server));
+    for id in 100..110 {
+        bench.now += 0.3;
+        bench.report(1, 0.3);
+        assert_eq!(bench.place(id), Some(1), "request {id}");
+    }
+}
+
+/// A server cut off kept its figure beside no own load; sizes came out tiny and all was refused.
+#[test]
+fn a_cut_off_server_does_not_shrink_the_others() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    bench.open(1, 1000, &[0.02; 20]);
+    bench.open(2, 2000, &[0.02; 20]);
+    bench.report(2, 0.84);
+    bench.report(1, 0.5);
+    bench.silent(2);
+    for id in 2000..2019 {
+        bench.finish(id, 2, Outcome::Reset, true);
+    }
+    for id in 0..5 {
+        bench.now += 0.5;
+        bench.report(1, 0.5);
+        let light = Request {
+            hint: Some(0.02),
+            ..request(id)
+        };
+        let actions = bench.on(Event::Request(light));
+        assert_eq!(sent_to(&actions, id), Some(1));
+    }
+}
+
+/// A failing server is quick to answer and looks idle.
+#[test]
+fn a_server_that_fails_fast_is_ejected_and_tried_again_later() {
+    let mut bench = Bench::new(settings(), (1..=3).map(entry).collect(), 3);
+    let fails = |bench: &mut Bench, ids: std::ops::Range<RequestId>| {
+        let mut failed = 0;
+        for id in ids {
+            bench.now += 0.1;
+            for (server, figure) in [(1, 0.0), (2, 0.5), (3, 0.5)] {
+                bench.report(server, figure);
+            }
+            let mut actions = bench.on(Event::Request(Request {
+                hint: Some(0.001),
+                ..request(id)
+            }));
+            while let Some(server) = sent_to(&actions, id) {
+                if server != 1 {
+                    bench.on(Event::Begun(id, server));
+                    break;
+                }
+                failed += 1;
+                actions = bench.end(id, server, Outcome::Error);
+            }
+        }
+        failed
+    };
+    let first = fails(&mut bench, 0..40);
+    assert!((1..=8).contains(&first), "{first} of 40");
+    bench.now += 60.0;
+    assert!(fails(&mut bench, 100..101) == 1, "forgiven, so tried again");
+}
+
+#[test]
+fn when_all_servers_fail_their_probes_requests_still_go_out() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    bench.silent(1);
+    bench.silent(2);
+    assert!(bench.place(9).is_some());
+}
+
+#[test]
+fn a_silent_server_is_avoided_until_it_answers() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    bench.report(1, 0.0);
+    bench.report(2, 0.6);
+    bench.silent(1);
+    assert_eq!(bench.place(8), Some(2));
+    bench.report(1, 0.0);
+    assert_eq!(bench.place(9), Some(1));
+}
+
+fn grouped(id: RequestId, group: u64) -> Request {
+    Request {
+        group: Some(group),
+        hint: Some(0.02),
+        ..request(id)
+    }
+}
+
+fn with_groups() -> Bench {
+    let set = Settings {
+        groups: true,
+        ..settings()
+    };
+    let mut bench = Bench::new(set, vec![entry(1), entry(2)], 3);
+    for id in 0..40 {
+        bench.on(Event::Open(grouped(1000 + id, 7), 1));
+        bench.on(Event::Open(grouped(2000 + id, 8), 2));
+    }
+    bench
+}
+
+/// Each server that holds any of a group pays for it.
+#[test]
+fn a_group_stays_where_it_is_while_there_is_room() {
+    let mut bench = with_groups();
+    bench.report(1, 0.55);
+    bench.report(2, 0.45);
+    let actions = bench.on(Event::Request(grouped(9, 7)));
+    assert_eq!(sent_to(&actions, 9), Some(1));
+}
+
+/// A request was refused for its group's full server beside one that was idle.
+#[test]
+fn a_full_server_of_its_group_does_not_hide_an_idle_one() {
+    let mut bench = with_groups();
+    bench.report(1, 0.85);
+    bench.report(2, 0.1);
+    let actions = bench.on(Event::Request(grouped(9, 7)));
+    assert_eq!(sent_to(&actions, 9), Some(2));
+}
+
+#[test]
+fn requests_beyond_all_capacity_are_refused_at_once_with_a_time_to_come_back() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    bench.open(1, 1000, &[0.1; 10]);
+    bench.open(2, 2000, &[0.1; 10]);
+    bench.report(1, 0.95);
+    bench.report(2, 0.95);
+    let actions = bench.on(Event::Request(request(9)));
+    let [Action::Refuse(9, Some(wait))] = actions[..] else {
+        panic!("{actions:?}")
+    };
+    assert!(wait > 0.0 && wait <= 1.0);
+}
+
+fn two_tenants() -> Settings {
+    let tenants = vec![Tenant { quota: Some(10.0) }, Tenant { quota: Some(100.0) }];
+    Settings {
+        tenants,
+        ..settings()
+    }
+}
+
+fn of_tenant(id: RequestId, tenant: usize) -> Request {
+    Request {
+        tenant: Some(tenant),
+        hint: Some(0.02),
+        ..request(id)
+    }
+}
+
+/// A tenant's burst doubles the load of connections that already stand; refusing new ones is not
+/// enough.
+#[test]
+fn a_server_past_its_capacity_sheds_what_is_worth_least_for_its_load() {
+    let mut bench = Bench::new(two_tenants(), vec![entry(1)], 3);
+    for id in 0..20 {
+        bench.on(Event::Open(of_tenant(1000 + id, 0), 1));
+        bench.on(Event::Open(of_tenant(2000 + id, 1), 1));
+    }
+    let shed = moved(&bench.report(1, 1.25));
+    assert!((4..=12).contains(&shed.len()), "a fifth is over: {shed:?}");
+    assert!(
+        shed.iter().all(|id| *id < 2000),
+        "the tenant beyond its share goes first: {shed:?}"
+    );
+}
+
+#[test]
+fn a_tenant_beyond_its_share_is_refused_first() {
+    let mut bench = Bench::new(two_tenants(), vec![entry(1)], 3);
+    for id in 0..20 {
+        bench.on(Event::Open(of_tenant(1000 + id, 0), 1));
+        bench.on(Event::Open(of_tenant(2000 + id, 1), 1));
+    }
+    bench.report(1, 0.8);
+    assert_eq!(refused(&bench.on(Event::Request(of_tenant(1, 0)))), [1]);
+    assert_eq!(
+        sent_to(&bench.on(Event::Request(of_tenant(2, 1))), 2),
+        Some(1)
+    );
+}
+
+#[test]
+fn reports_without_sense_are_passed_over() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    bench.report(1, 0.2);
+    bench.report(2, 0.4);
+    for nonsense in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -3.0] {
+        bench.report(2, nonsense);
+        bench.on(Event::LoadNote(77, nonsense));
+    }
+    bench.on(Event::Probed(2, Outcome::Ok, Report::default()));
+    assert_eq!(bench.place(8), Some(1));
+    bench.report(1, 1e300);
+    assert_eq!(bench.place(9), Some(2));
+}
+
+#[test]
+fn unknown_ids_late_outcomes_and_stray_timers_are_passed_over() {
+    let mut bench = Bench::new(settings(), vec![entry(1)], 3);
+    assert!(bench.end(5, 1, Outcome::Error).is_empty());
+    assert!(bench.end(5, 99, Outcome::Ok).is_empty());
+    assert!(bench.on(Event::Begun(5, 99)).is_empty());
+    assert!(bench.on(Event::Gone(5)).is_empty());
+    assert!(bench.on(Event::LoadNote(5, 1.0)).is_empty());
+    assert!(bench.on(Event::DelayNote(99, 1.0)).is_empty());
+    assert!(bench.on(Event::Timer(1)).is_empty());
+    assert!(bench.on(Event::Timer(17)).is_empty());
+    assert!(bench.on(Event::Timer((1 << 32) + 99)).is_empty());
+    assert!(
+        bench
+            .on(Event::Probed(99, Outcome::Ok, load(0.5)))
+            .is_empty()
+    );
+    assert_eq!(bench.place(9), Some(1));
+}
+
+#[test]
+fn a_client_that_leaves_early_has_its_attempt_cancelled_and_gets_no_answer() {
+    let mut bench = Bench::new(settings(), vec![entry(1)], 3);
+    bench.place(9).expect("sent");
+    assert_eq!(bench.on(Event::Gone(9)), [Action::Cancel(9, 0)]);
+    assert!(bench.finish(9, 1, Outcome::Cancelled, true).is_empty());
+}
+
+#[test]
+fn a_lost_list_is_asked_for_again_but_not_at_once() {
+    let set = Settings {
+        must_ask: true,
+        ..settings()
+    };
+    let mut bench = Bench::new(set, vec![entry(1)], 3);
+    let actions = bench.on(Event::Servers(ListKind::Unavailable, Vec::new()));
+    let [Action::Timer(after, token)] = actions[..] else {
+        panic!("{actions:?}")
+    };
+    assert!(
+        after > 0.0 && after < 10.0,
+        "within the time that the rules leave"
+    );
+    bench.now += after;
+    assert_eq!(bench.on(Event::Timer(token)), [Action::Subscribe]);
+    assert!(
+        bench.on(Event::Timer(token)).is_empty(),
+        "one call at a time"
+    );
+    assert_eq!(bench.place(9), Some(1), "the old list still holds");
+}
+
+#[test]
+fn a_wholly_cold_fleet_is_waited_for_but_not_to_the_deadline() {
+    let mut bench = Bench::new(settings(), Vec::new(), 3);
+    let actions = bench.on(Event::Request(request(9)));
+    let [Action::Timer(after, token)] = actions[..] else {
+        panic!("{actions:?}")
+    };
+    bench.now += after;
+    bench.on(Event::Servers(ListKind::Replace, vec![entry(1)]));
+    assert_eq!(sent_to(&bench.on(Event::Timer(token)), 9), Some(1));
+    bench.on(Event::Servers(ListKind::Replace, Vec::new()));
+    let mut actions = bench.on(Event::Request(request(10)));
+    let start = bench.now;
+    while let [Action::Timer(after, token)] = actions[..] {
+        bench.now += after;
+        actions = bench.on(Event::Timer(token));
+    }
+    assert_eq!(refused(&actions), [10]);
+    assert!(bench.now - start < 1.9, "answered well before the deadline");
+}
--- /dev/null
+++ b/crates/balancer/tests/rules.rs
@@ -0,0 +1,208 @@
+//! The four rules, each kept by a balancer on its own.
+
+mod common;
+
+use common::*;
+use violetwind_balancer::api::*;
+
+#[test]
+fn a_request_gets_one_final_answer_at_once_and_nothing_after() {
+    let mut bench = Bench::new(settings(), (1..=5).map(entry).collect(), 7);
+    let mut server = bench.place(9).expect("sent");
+    for attempt in 1..=3 {
+        let actions = bench.end(9, server, Outcome::Error);
+        match sent_to(&actions, 9) {
+            Some(next) => {
+                assert!(attempt < 3, "three attempts are allowed");
+                assert!(refused(&actions).is_empty());
+                server = next;
+            }
+            None => {
+                assert_eq!(attempt, 3);
+                assert_eq!(
+                    refused(&actions),
+                    [9],
+                    "given up, so answered in the same moment"
+                );
+            }
+        }
+    }
+    assert!(bench.finish(9, server, Outcome::Error, true).is_empty());
+    assert!(bench.on(Event::Gone(9)).is_empty());
+}
+
+#[test]
+fn the_timeout_at_the_deadline_is_answered() {
+    let mut bench = Bench::new(settings(), (1..=5).map(entry).collect(), 7);
+    let server = bench.place(9).expect("sent");
+    bench.now += 2.0;
+    assert_eq!(refused(&bench.end(9, server, Outcome::TimedOut)), [9]);
+}
+
+#[test]
+fn attempts_never_outlast_the_client() {
+    let mut bench = Bench::new(settings(), vec![entry(1)], 7);
+    let actions = bench.on(Event::Request(request(9)));
+    let Action::Send(_, _, timeout) = actions[0] else {
+        panic!("not sent: {actions:?}")
+    };
+    assert!(timeout > 0.0 && timeout <= 2.0);
+}
+
+fn with_class(effect: Effect, scope: Scope) -> Settings {
+    Settings {
+        classes: vec![class(effect, scope)],
+        max_attempts: 9,
+        ..settings()
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_failed_not_repeated() {
+    for outcome in [Outcome::Error, Outcome::TimedOut, Outcome::Reset] {
+        let set = with_class(Effect::Unsafe, Scope::All);
+        let mut bench = Bench::new(set, (1..=3).map(entry).collect(), 1);
+        let server = bench.place(9).expect("sent");
+        assert_eq!(
+            bench.end(9, server, outcome),
+            [Action::Fail(9)],
+            "{outcome:?}"
+        );
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_never_ran_is_tried_again() {
+    for outcome in [Outcome::Full, Outcome::ConnectFailed] {
+        let set = with_class(Effect::Unsafe, Scope::All);
+        let mut bench = Bench::new(set, (1..=3).map(entry).collect(), 1);
+        let server = bench.place(9).expect("sent");
+        let actions = bench.end(9, server, outcome);
+        assert!(sent_to(&actions, 9).is_some(), "{outcome:?}: {actions:?}");
+    }
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_stays_with_those_that_drop_its_repeats() {
+    let zones = |id| Entry {
+        zone: Some(id as usize % 2),
+        cell: u64::from(id % 2),
+        ..entry(id)
+    };
+    for scope in [Scope::Zone, Scope::Cell] {
+        for seed in 0..20 {
+            let set = with_class(Effect::Keyed, scope);
+            let mut bench = Bench::new(set, (1..=6).map(zones).collect(), seed);
+            let first = bench.place(9).expect("sent");
+            let actions = bench.end(9, first, Outcome::Error);
+            let next = sent_to(&actions, 9).expect("another of its zone and cell is there");
+            assert_eq!(next % 2, first % 2);
+        }
+    }
+}
+
+#[test]
+fn a_keyed_request_is_not_repeated_once_servers_may_have_forgotten_it() {
+    let set = Settings {
+        classes: vec![Class {
+            window: 0.5,
+            ..class(Effect::Keyed, Scope::Zone)
+        }],
+        ..settings()
+    };
+    let mut bench = Bench::new(set, (1..=3).map(entry).collect(), 1);
+    let server = bench.place(9).expect("sent");
+    bench.now += 0.6;
+    assert_eq!(bench.end(9, server, Outcome::Error), [Action::Fail(9)]);
+}
+
+#[test]
+fn nothing_new_goes_to_a_server_that_drains_or_is_gone() {
+    for status in [Status::Draining, Status::Gone] {
+        let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+        bench.report(1, 0.1);
+        bench.report(2, 0.5);
+        bench.on(Event::Servers(
+            ListKind::Update,
+            vec![Entry { status, ..entry(1) }],
+        ));
+        assert_eq!(bench.place(9), Some(2), "{status:?}");
+    }
+}
+
+#[test]
+fn a_server_that_a_whole_list_leaves_out_is_gone() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    bench.report(1, 0.1);
+    bench.report(2, 0.5);
+    bench.on(Event::Servers(ListKind::Replace, vec![entry(2)]));
+    assert_eq!(bench.place(9), Some(2));
+    assert!(
+        bench.on(Event::Timer((1 << 32) + 1)).is_empty(),
+        "it is no longer probed"
+    );
+}
+
+/// Sends to server 2, born as the list tells, among 60 requests in 2 s.
+fn sends_to_cold(kind: usize, born: Secs) -> usize {
+    let mut bench = Bench::new(settings(), vec![entry(1)], 5);
+    bench.open(1, 1000, &[0.05; 40]);
+    bench.report(1, 0.5);
+    let cold = Entry {
+        kind: Some(kind),
+        born: Some(born),
+        ..entry(2)
+    };
+    bench.on(Event::Servers(ListKind::Update, vec![cold]));
+    let mut sends = 0;
+    for id in 0..60 {
+        bench.now += 2.0 / 60.0;
+        bench.report(1, 0.5);
+        bench.report(2, 0.0);
+        let light = Request {
+            hint: Some(0.001),
+            ..request(id)
+        };
+        let actions = bench.on(Event::Request(light));
+        sends += usize::from(sent_to(&actions, id) == Some(2));
+    }
+    sends
+}
+
+#[test]
+fn a_cold_server_gets_a_small_number_of_connections() {
+    let cold = sends_to_cold(0, 99.0);
+    assert!((1..=12).contains(&cold), "{cold} of 60");
+    assert!(
+        sends_to_cold(0, 50.0) > 40,
+        "a warm one gets what its load calls for"
+    );
+}
+
+/// Found on a rolling deploy: the only server left of its kind was cold and idle, so a warm one of
+/// its kind seemed boundless and the cap vanished.
+#[test]
+fn a_cold_server_alone_of_its_kind_is_capped_too() {
+    let cold = sends_to_cold(1, 99.0);
+    assert!((1..=12).contains(&cold), "{cold} of 60");
+}
+
+#[test]
+fn a_restarted_process_is_cold_again() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 5);
+    bench.open(1, 1000, &[0.05; 20]);
+    bench.open(2, 2000, &[0.05; 20]);
+    bench.report(1, 0.5);
+    bench.report(2, 0.3);
+    let reborn = Entry {
+        born: Some(bench.now - 0.5),
+        ..entry(2)
+    };
+    bench.on(Event::Servers(ListKind::Update, vec![reborn]));
+    let mut sends = 0;
+    for id in 0..30 {
+        bench.now += 0.02;
+        sends += usize::from(bench.place(id) == Some(2));
+    }
+    assert!(sends <= 6, "{sends} of 30 in 0.6 s");
+}
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -183,7 +183,6 @@
             .iter()
             .filter_map(field)
             .collect(),
-        connect_timeout: facts.number_or("permissions.connect-timeout-s", 1.0)?,
         max_attempts: facts.int_or("permissions.max-attempts", 1)? as usize,
         max_retry_after: facts.number_or("permissions.max-retry-after-s", 0.0)?,
         may_retry_after: facts.flag("permissions.retry-after")?,
@@ -197,7 +196,6 @@
         fall_for: facts.number_or("rules.overload-for-s", 1.0)?,
         groups: facts.flag("family-info.groups")?,
         price_cross_zone: facts.number_or("prices.cross-zone", 0.0)?,
-        price_move: facts.number_or("prices.moves", 0.0)?,
         over_share_worth: facts.number_or("over-share-worth", 1.0)?,
     };
     Ok((settings, names))
@@ -212,7 +210,6 @@
     kind: Option<String>,
     zone: Option<String>,
     born: Option<Secs>,
-    weight: f64,
 }
 
 pub fn row(fields: &Fields) -> Result<Row, String> {
@@ -228,7 +225,6 @@
         kind: fields.get("sku").map(str::to_string),
         zone: fields.get("campus").map(str::to_string),
         born: fields.number("born-s")?.filter(|born| *born != 0.0),
-        weight: fields.number_or("rating", 1.0)?,
     })
 }
 
@@ -304,7 +300,6 @@
         kind: index(&names.kinds, row.kind.as_deref()),
         cell: row.cell,
         born: row.born,
-        weight: row.weight,
     };
     Ok(Event::Servers(kind, rows.iter().map(entry).collect()))
 }
