--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -24,7 +24,7 @@
 /// The part of `ADMIT` that servers are filled to with what a tenant sends beyond its share.
 const OVER_SHARE: f64 = 0.9;
 /// Load over capacity beyond which connections go even if there is no room for them elsewhere.
-const DROWNING: f64 = 1.0;
+const DROWNING: f64 = 0.93;
 /// Time between two probes of a server.
 const PROBE_EVERY: Secs = 1.0;
 /// A report may show the state of so long ago; own placements since then are added to it.
