--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -35,8 +35,10 @@
 const GROUP_COST: f64 = 2.0;
 /// By this many times its cost a server without the group ranks behind: the cost stays for long.
 const GROUP_SHUN: f64 = 8.0;
-/// A server is taken to hold at least this many usual connections.
-const LEAST_HELD: f64 = 10.0;
+/// So many usual connections a server is taken to hold until it is learned.
+const USUAL_HELD: f64 = 50.0;
+/// That guess weighs as much as so many own connections on each server.
+const GUESS_WEIGHT: f64 = 5.0;
 /// The part of the budget that would push a cold server over which is used.
 const COLD_CARE: f64 = 1.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
@@ -76,8 +78,7 @@
             waiting: BTreeSet::new(),
             wait_timer: false,
             subscribed: false,
-            // Little until it is learned, or the first requests would all seem too much.
-            units: BTreeMap::from([(None, 0.01)]),
+            units: BTreeMap::from([(None, 1.0 / USUAL_HELD)]),
             mean_figure: 0.0,
             failures: Fading::default(),
             successes: Fading::default(),
@@ -232,7 +233,7 @@
     /// Learns what a unit of load adds to a figure, from servers of a kind together and most from
     /// those that hold most of this balancer's load, as its peers' load is unknown.
     fn learn_units(&mut self) {
-        let mut sums: BTreeMap<Option<usize>, (f64, f64)> = BTreeMap::new();
+        let mut sums: BTreeMap<Option<usize>, (f64, f64, f64)> = BTreeMap::new();
         let (mut figures, mut heard) = (0.0, 0.0);
         // A server cut off keeps its old figure while all own connections to it are lost.
         let sound = |s: &&Server| s.up() && !s.suspect;
@@ -245,19 +246,21 @@
             if server.cold_rest(self.state.now, &self.set) == 0.0 {
                 for kind in [server.kind(), None] {
                     let sum = sums.entry(kind).or_default();
-                    *sum = (sum.0 + figure * load, sum.1 + load * load);
+                    *sum = (sum.0 + figure * load, sum.1 + load * load, sum.2 + 1.0);
                 }
             }
         }
         if heard > 0.0 {
             self.mean_figure = figures / heard;
         }
-        // After an own restart little own load stands beside all the others': bounded.
-        let most = 1.0 / (LEAST_HELD * self.state.mean_load());
-        self.units.retain(|kind, _| kind.is_none());
-        for (kind, (figure, load)) in sums.into_iter().filter(|(_, sum)| sum.1 > 0.0) {
-            self.units
-                .insert(kind, (figure / load / self.sharers()).min(most));
+        // After an own restart little own load stands beside all the others' and says little. Then a
+        // guess weighs more, or servers would seem too small to take anything, for good.
+        let usual = self.state.mean_load().max(f64::MIN_POSITIVE);
+        self.units = BTreeMap::from([(None, 1.0 / USUAL_HELD / usual)]);
+        for (kind, (figure, load, servers)) in sums {
+            let weight = servers * (GUESS_WEIGHT * usual).powi(2);
+            let told = figure / self.sharers() + weight / USUAL_HELD / usual;
+            self.units.insert(kind, told / (load + weight));
         }
     }
 
