--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -255,7 +255,7 @@
         }
         // After an own restart little own load stands beside all the others' and says little. Then a
         // guess weighs more, or servers would seem too small to take anything, for good.
-        let usual = self.state.mean_load().max(f64::MIN_POSITIVE);
+        let usual = self.state.mean_load();
         self.units = BTreeMap::from([(None, 1.0 / USUAL_HELD / usual)]);
         for (kind, (figure, load, servers)) in sums {
             let weight = servers * (GUESS_WEIGHT * usual).powi(2);
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -113,9 +113,21 @@
         }
     }
 
-    /// The mean load of own connections and attempts.
+    /// The mean load of own connections and attempts, or while there are none what is usual.
     pub fn mean_load(&self) -> f64 {
-        self.load / self.joined.max(1) as f64
+        if self.joined > 0 && self.load > 0.0 {
+            return self.load / self.joined as f64;
+        }
+        let (told, number) = self.told(&self.loads);
+        if told > 0.0 { told / number } else { 1.0 }
+    }
+
+    /// Loads lately told and their number.
+    fn told(&self, loads: &[(Fading, Fading)]) -> (f64, f64) {
+        let get = |fading: &Fading| fading.get(self.now, MEMORY);
+        loads.iter().fold((0.0, 0.0), |(told, number), (l, n)| {
+            (told + get(l), number + get(n))
+        })
     }
 
     pub fn adopt(&mut self, request: Request) {
@@ -137,21 +149,11 @@
         self.conns.insert(conn.request.id, conn);
     }
 
-    /// The usual load of a class, or of all where none of it has been told.
-    pub fn class_load(&self, class: usize) -> f64 {
-        let sum = |loads: &[(Fading, Fading)]| {
-            let get = |fading: &Fading| fading.get(self.now, MEMORY);
-            loads
-                .iter()
-                .fold((0.0, 0.0), |(sum, n), (l, c)| (sum + get(l), n + get(c)))
-        };
-        let (told, number) = sum(&self.loads[class..=class]);
-        let (all, all_number) = sum(&self.loads);
-        let usual = if all_number > 0.0 {
-            all / all_number
-        } else {
-            1.0
-        };
+    /// The usual load of a class, drawn to that of all while little of it has been told.
+    fn class_load(&self, class: usize) -> f64 {
+        let (told, number) = self.told(&self.loads[class..=class]);
+        let (all, all_number) = self.told(&self.loads);
+        let usual = if all > 0.0 { all / all_number } else { 1.0 };
         (told + usual) / (number + 1.0)
     }
 
--- a/crates/balancer/tests/failures.rs
+++ b/crates/balancer/tests/failures.rs
@@ -338,3 +338,27 @@
     assert_eq!(refused(&actions), [10]);
     assert!(bench.now - start < 1.9, "answered well before the deadline");
 }
+
+/// A restarted balancer held nothing while servers reported load, took them for tiny and refused
+/// everything for good.
+#[test]
+fn a_restarted_balancer_places_again() {
+    for figure in [0.0, 0.2, 0.6] {
+        let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+        bench.report(1, figure);
+        bench.report(2, figure);
+        for id in 0..10 {
+            bench.now += 0.5;
+            bench.report(1, figure);
+            bench.report(2, figure);
+            let actions = bench.on(Event::Request(Request {
+                hint: None,
+                ..request(id)
+            }));
+            let server =
+                sent_to(&actions, id).unwrap_or_else(|| panic!("at {figure}: {actions:?}"));
+            bench.on(Event::Begun(id, server));
+            bench.on(Event::LoadNote(id, 0.05));
+        }
+    }
+}
