--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -39,6 +39,8 @@
 const USUAL_HELD: f64 = 50.0;
 /// That guess weighs as much as so many own connections on each server.
 const GUESS_WEIGHT: f64 = 5.0;
+/// The highest load over capacity that is believed.
+const PLAUSIBLE: f64 = 10.0;
 /// The part of the budget that would push a cold server over which is used.
 const COLD_CARE: f64 = 1.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
@@ -214,8 +216,14 @@
     /// Takes the figure of a report, in the design's metric order.
     fn hear(&mut self, id: ServerId, report: Report) {
         let figure = report.load.or(report.connections).or(report.queue);
-        // A figure that is no number, negative or infinite says nothing.
+        // A figure that is no number, negative or infinite says nothing; a huge one no more than a
+        // large one, or it would set what is learned of all servers.
         if let Some(figure) = figure.filter(|f| f.is_finite() && *f >= 0.0) {
+            let figure = if report.load.is_some() {
+                figure.min(PLAUSIBLE)
+            } else {
+                figure
+            };
             let held_since = self.state.now - REPORT_AGE;
             self.state.server(id, |server| {
                 server.figure = Some(figure);
