--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -414,7 +414,7 @@
             .any(|s| self.open(s) && !self.ejected(s));
         // Room before rank: a group's full server must not hide an idle one. But as room gets short
         // everywhere, a further share of a group costs room that is wanted more elsewhere.
-        let scarcity = ((self.mean_figure / ADMIT - SCARCE) / (1.0 - SCARCE)).clamp(0.0, 1.0);
+        let scarcity = self.scarcity();
         let mut ranked: Vec<(f64, ServerId)> = Vec::new();
         for (&id, server) in self.state.servers.iter().filter(|(_, s)| self.open(s)) {
             let after = self.load_after(conn, server, true);
@@ -453,13 +453,21 @@
         self.load_now(server) + added * self.unit_of(server)
     }
 
-    /// The probed figure, and own changes since, with as many by each peer.
+    /// The probed figure, and own placements since, with as many by each peer that places here: as
+    /// room gets short in all zones, that is every one.
     fn load_now(&self, server: &Server) -> f64 {
         let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
-        let pending = pending * self.unit_of(server) * self.sharers();
+        let fleet = self.set.fleet_size as f64;
+        let peers = self.sharers() + (fleet - self.sharers()) * self.scarcity();
+        let pending = pending * self.unit_of(server) * peers;
         server.figure.unwrap_or(self.mean_figure) + pending
     }
 
+    /// How short room is, from 0 to 1.
+    fn scarcity(&self) -> f64 {
+        ((self.mean_figure / ADMIT - SCARCE) / (1.0 - SCARCE)).clamp(0.0, 1.0)
+    }
+
     fn unit_of(&self, server: &Server) -> f64 {
         self.units
             .get(&server.kind())
