--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -21,8 +21,8 @@
 const ADMIT: f64 = 0.85;
 /// The part of `ADMIT` that all servers are filled to when room begins to be short.
 const SCARCE: f64 = 0.7;
-/// The part of `ADMIT` that servers are filled to with what a tenant sends beyond its share.
-const OVER_SHARE: f64 = 0.9;
+/// The part of `ADMIT` that is kept from what is worth nothing for its load.
+const LESS_ROOM: f64 = 0.1;
 /// Load over capacity beyond which connections go even if there is no room for them elsewhere.
 const DROWNING: f64 = 0.93;
 /// Time between two probes of a server.
@@ -143,7 +143,10 @@
                     self.place(id, out);
                 }
             }
-            Event::Timer(token) => self.on_probe_timer(token, out),
+            Event::Timer(token) if token >= TIMER_PROBE => {
+                self.on_probe_timer((token - TIMER_PROBE) as ServerId, out);
+            }
+            Event::Timer(_) => {}
         }
     }
 
@@ -163,15 +166,11 @@
         for entry in entries {
             let id = entry.server;
             let server = self.state.servers.entry(id).or_default();
-            let restarted = server
-                .entry
-                .as_ref()
-                .is_some_and(|old| old.born != entry.born);
-            if restarted {
-                // What is known of the old process no longer holds.
+            let fresh = server.entry.as_ref().map(|old| old.born) != Some(entry.born);
+            if fresh {
+                // What is known of an old process no longer holds.
                 (server.figure, server.suspect, server.errors) = Default::default();
             }
-            let fresh = restarted || server.entry.is_none();
             let up = entry.status == Status::Up;
             server.entry = Some(entry);
             if fresh && server.cold_rest(self.state.now, &self.set) > 0.0 {
@@ -199,18 +198,15 @@
 
     // Probes and what they tell.
 
-    fn on_probe_timer(&mut self, token: u64, out: &mut Vec<Action>) {
-        let id = token.checked_sub(TIMER_PROBE).map(|id| id as ServerId);
-        let Some((id, server)) = id.and_then(|id| Some((id, self.state.servers.get_mut(&id)?)))
-        else {
-            return;
-        };
-        server.probing = server.up();
-        if server.probing {
-            out.push(Action::Probe(id));
-            let after = PROBE_EVERY * self.rng.random_range(0.9..1.1);
-            out.push(Action::Timer(after, token));
-        }
+    fn on_probe_timer(&mut self, id: ServerId, out: &mut Vec<Action>) {
+        let again = PROBE_EVERY * self.rng.random_range(0.9..1.1);
+        self.state.server(id, |server| {
+            server.probing = server.up();
+            if server.probing {
+                out.push(Action::Probe(id));
+                out.push(Action::Timer(again, TIMER_PROBE + u64::from(id)));
+            }
+        });
     }
 
     /// Takes the figure of a report, in the design's metric order.
@@ -346,14 +342,27 @@
         self.rng.random::<f64>() < excess
     }
 
-    /// The load over capacity up to which a server may be filled with this request.
-    fn limit(&self, request: &Request) -> f64 {
+    /// The load over capacity up to which a server may be filled with this request: what is worth
+    /// less for its load than is usual here, as beyond its tenant's share, is refused the sooner.
+    fn limit(&self, conn: &Conn) -> f64 {
         if !self.set.report_fields.contains(&Field::Load) {
             return f64::INFINITY;
         }
-        // What a tenant sends beyond its share goes first when room gets short.
-        let over = self.over_share(request);
-        if over { OVER_SHARE * ADMIT } else { ADMIT }
+        let held = self.set.classes.iter().zip(&self.state.classes);
+        let usual: f64 = held.map(|(class, &n)| class.worth * n as f64).sum();
+        let worth = self.worth(&conn.request) * self.state.mean_load() * self.state.joined() as f64;
+        let less = 1.0 - (worth / (conn.load * usual).max(f64::MIN_POSITIVE)).min(1.0);
+        ADMIT * (1.0 - LESS_ROOM * less)
+    }
+
+    /// What a request is worth; little beyond its tenant's share.
+    fn worth(&self, request: &Request) -> f64 {
+        let over = if self.over_share(request) {
+            self.set.over_share_worth
+        } else {
+            1.0
+        };
+        over * self.set.classes[request.class].worth
     }
 
     fn over_share(&self, request: &Request) -> bool {
@@ -405,7 +414,7 @@
     /// from at random, since other proxies see the same lowest one.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
         let conn = &self.state.conns[&id];
-        let limit = self.limit(&conn.request);
+        let limit = self.limit(conn);
         // Outlier ejection: silent and failing servers get nothing while there are others.
         let sound = self
             .state
@@ -534,7 +543,8 @@
         let conn = |id: &RequestId| &self.state.conns[id];
         let open = |id: &&RequestId| matches!(conn(id).phase, Phase::Open(_));
         let mut own: Vec<RequestId> = server.own.iter().filter(open).copied().collect();
-        let worth = |id: &RequestId| self.worth(conn(id), server);
+        let worth =
+            |id: &RequestId| self.worth(&conn(id).request) / self.leaving_load(conn(id), server);
         own.sort_by(|a, b| worth(a).total_cmp(&worth(b)));
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
         let room = own.first().is_some_and(|first| {
@@ -562,14 +572,8 @@
         }
     }
 
-    /// What a connection is worth for the load that leaves with it, its part of its group's cost
-    /// there included; little beyond its tenant's share.
-    fn worth(&self, conn: &Conn, server: &Server) -> f64 {
-        let over = if self.over_share(&conn.request) {
-            self.set.over_share_worth
-        } else {
-            1.0
-        };
+    /// The load that leaves with a connection, its part of its group's cost there included.
+    fn leaving_load(&self, conn: &Conn, server: &Server) -> f64 {
         let sharers = conn
             .request
             .group
@@ -577,7 +581,6 @@
         let group = sharers
             .filter(|_| self.set.groups)
             .map_or(0.0, |&n| GROUP_COST / n as f64);
-        let leaves = conn.load + group * self.state.mean_load();
-        over * self.set.classes[conn.request.class].worth / leaves.max(1e-9)
+        (conn.load + group * self.state.mean_load()).max(f64::MIN_POSITIVE)
     }
 }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -78,7 +78,9 @@
     /// The load and number of own connections and attempts.
     load: f64,
     joined: usize,
-    /// Own connections and attempts of each tenant.
+    /// Own connections and attempts of each class.
+    pub classes: Vec<usize>,
+    /// Own requests of each tenant.
     pub tenants: Vec<usize>,
     /// Per class: loads told and their number.
     loads: Vec<(Fading, Fading)>,
@@ -92,6 +94,7 @@
             conns: BTreeMap::new(),
             load: 0.0,
             joined: 0,
+            classes: vec![0; classes],
             tenants: vec![0; tenants],
             loads: vec![Default::default(); classes],
         }
@@ -122,6 +125,11 @@
         if told > 0.0 { told / number } else { 1.0 }
     }
 
+    /// The number of own connections and attempts.
+    pub fn joined(&self) -> usize {
+        self.joined
+    }
+
     /// Loads lately told and their number.
     fn told(&self, loads: &[(Fading, Fading)]) -> (f64, f64) {
         let get = |fading: &Fading| fading.get(self.now, MEMORY);
@@ -188,6 +196,7 @@
         server.load += conn.load;
         self.load += conn.load;
         self.joined += 1;
+        self.classes[conn.request.class] += 1;
         if let Some(group) = conn.request.group {
             *server.groups.entry(group).or_default() += 1;
         }
@@ -206,6 +215,7 @@
         server.load = (server.load - conn.load).max(0.0);
         self.load = (self.load - conn.load).max(0.0);
         self.joined -= 1;
+        self.classes[conn.request.class] -= 1;
         if let Some(group) = conn.request.group {
             let left = server.groups.get_mut(&group).expect("joined before");
             *left -= 1;
--- a/crates/balancer/tests/failures.rs
+++ b/crates/balancer/tests/failures.rs
@@ -362,3 +362,32 @@
         }
     }
 }
+
+/// In a fleet filled for good all classes were refused alike, whatever they were worth.
+#[test]
+fn what_is_worth_less_for_its_load_is_refused_sooner() {
+    let light = Class {
+        worth: 5.0,
+        ..class(Effect::Safe, Scope::All)
+    };
+    let set = Settings {
+        classes: vec![light, class(Effect::Safe, Scope::All)],
+        ..settings()
+    };
+    let mut bench = Bench::new(set, vec![entry(1)], 3);
+    let of = |id, class, hint| Request {
+        class,
+        hint: Some(hint),
+        ..request(id)
+    };
+    for id in 0..40 {
+        bench.on(Event::Open(of(1000 + id, 0, 0.01), 1));
+        bench.on(Event::Open(of(2000 + id, 1, 0.01), 1));
+    }
+    bench.report(1, 0.8);
+    assert_eq!(
+        sent_to(&bench.on(Event::Request(of(1, 0, 0.01))), 1),
+        Some(1)
+    );
+    assert_eq!(refused(&bench.on(Event::Request(of(2, 1, 0.01)))), [2]);
+}
