--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -42,7 +42,7 @@
 /// The highest load over capacity that is believed.
 const PLAUSIBLE: f64 = 10.0;
 /// The part of the budget that would push a cold server over which is used.
-const COLD_CARE: f64 = 1.0;
+const COLD_CARE: f64 = 2.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
 /// Attempts per success beyond which the service as a whole is taken to be failing.
