--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -41,7 +41,8 @@
 const GUESS_WEIGHT: f64 = 5.0;
 /// The highest load over capacity that is believed.
 const PLAUSIBLE: f64 = 10.0;
-/// The part of the budget that would push a cold server over which is used.
+/// How many times the fall budget a cold server gets, if a warm one were filled no faster than over
+/// its warm-up. In truth clients fill it faster than that, so this stays well under the limit.
 const COLD_CARE: f64 = 2.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
@@ -512,7 +513,7 @@
             return 0.0;
         }
         let share = 1.0 - (1.0 - self.set.cold_from) * rest;
-        // No more than this balancer's part of a careful share of the fall budget, if a warm server
+        // No more than this balancer's part of a careful fall budget, as if a warm server
         // is filled with usual connections over the time that it takes to get warm.
         let full = 1.0 / (self.unit_of(server) * self.state.mean_load()).max(1e-3);
         let budget = COLD_CARE * self.set.fall_multiple * share * full / self.set.cold_for;
--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -233,3 +233,11 @@
         "violetwind-simhost: line 2: BANANA: expected an INSTANCE line before it\n"
     );
 }
+
+#[test]
+fn broken_decision_code_is_told_in_one_line() {
+    let mut output = Vec::new();
+    violetwind_simhost::codec::write_fault(&mut output, "index out of range\nat 7")
+        .expect("written");
+    assert_eq!(output, b"GIVE_IN message=index out of range at 7\n");
+}
