--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -1,5 +1,4 @@
-//! Every decision of the balancer. Its types, events, actions and settings are in `api.rs`;
-//! `state.rs` keeps the books.
+//! Every decision of the balancer; its interface is `api.rs`, and `state.rs` keeps the books.
 //!
 //! The design (docs/design.md): probe each server for load, place a connection on the lowest-ranked
 //! server, and move a connection off a server whose probed load passes a threshold.
@@ -41,8 +40,7 @@
 const GUESS_WEIGHT: f64 = 5.0;
 /// The highest load over capacity that is believed.
 const PLAUSIBLE: f64 = 10.0;
-/// How many times the fall budget a cold server gets, if a warm one were filled no faster than over
-/// its warm-up. In truth clients fill it faster than that, so this stays well under the limit.
+/// A cold server's budget over the one that would let a warm one fill within its warm-up.
 const COLD_CARE: f64 = 2.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
@@ -328,6 +326,10 @@
         self.state.join(id, to, Phase::Out(to));
         let now = self.state.now;
         self.state.server(to, |server| {
+            // Without reports nothing else would ever end the count of placements.
+            server
+                .pending
+                .retain(|(at, _)| *at > now - 10.0 * REPORT_AGE);
             server.pending.push((now, load));
             server.cold_until = now + gap;
         });
--- a/crates/balancer/tests/failures.rs
+++ b/crates/balancer/tests/failures.rs
@@ -391,3 +391,17 @@
     );
     assert_eq!(refused(&bench.on(Event::Request(of(2, 1, 0.01)))), [2]);
 }
+
+/// Own placements counted until a report came, and where none ever comes, for good.
+#[test]
+fn without_reports_placements_go_on() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    for id in 0..500 {
+        bench.now += 1.0;
+        let server = bench
+            .place(id)
+            .unwrap_or_else(|| panic!("request {id} was not sent"));
+        bench.on(Event::Begun(id, server));
+        bench.finish(id, server, Outcome::Ok, true);
+    }
+}
