Sum a server's load once in the ranking; derive what the books kept twice

A group's cost has a function of its own, so choose no longer sums a server's pending placements twice to subtract one from the other, and load_after loses its flag. The number of own connections is derived from those of each class, the usual load is computed in one place, and the codec returns an Option where it had an enum of its own.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -322,7 +322,8 @@
             return;
         };
         let gap = self.cold_gap(&self.state.servers[&to]);
-        let load = self.added_load(&self.state.conns[&id], &self.state.servers[&to]);
+        let conn = &self.state.conns[&id];
+        let load = conn.load + self.group_load(conn, &self.state.servers[&to]);
         self.state.join(id, to, Phase::Out(to));
         let now = self.state.now;
         self.state.server(to, |server| {
@@ -429,10 +430,10 @@
         let scarcity = self.scarcity();
         let mut ranked: Vec<(f64, ServerId)> = Vec::new();
         for (&id, server) in self.state.servers.iter().filter(|(_, s)| self.open(s)) {
-            let after = self.load_after(conn, server, true);
+            let after = self.load_after(conn, server);
             let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
             if !(barred || sound && self.ejected(server)) {
-                let group_load = after - self.load_after(conn, server, false);
+                let group_load = self.group_load(conn, server) * self.unit_of(server);
                 let home = conn.request.group.map_or(0.0, |group| spread(group, id));
                 let shun = GROUP_SHUN * (1.0 + home) * group_load;
                 if after + shun * scarcity <= limit {
@@ -456,12 +457,8 @@
     }
 
     /// A server's load with the request on it, and with what its group then costs there.
-    fn load_after(&self, conn: &Conn, server: &Server, group: bool) -> f64 {
-        let added = if group {
-            self.added_load(conn, server)
-        } else {
-            conn.load
-        };
+    fn load_after(&self, conn: &Conn, server: &Server) -> f64 {
+        let added = conn.load + self.group_load(conn, server);
         self.load_now(server) + added * self.unit_of(server)
     }
 
@@ -487,13 +484,13 @@
             .unwrap_or(self.units[&None])
     }
 
-    /// A connection's own load, and its group's where the server holds none of it.
-    fn added_load(&self, conn: &Conn, server: &Server) -> f64 {
-        let group = conn
-            .request
-            .group
-            .filter(|g| self.set.groups && !server.groups.contains_key(g));
-        conn.load + group.map_or(0.0, |_| GROUP_COST * self.state.mean_load())
+    /// What a connection's group costs on a server that holds none of it yet.
+    fn group_load(&self, conn: &Conn, server: &Server) -> f64 {
+        let held = |group| !self.set.groups || server.groups.contains_key(&group);
+        if conn.request.group.is_none_or(held) {
+            return 0.0;
+        }
+        GROUP_COST * self.state.mean_load()
     }
 
     /// What else counts against a server: failures, and the price of another zone.
@@ -551,7 +548,7 @@
         own.sort_by(|a, b| worth(a).total_cmp(&worth(b)));
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
         let room = own.first().is_some_and(|first| {
-            let fits = |s: &Server| self.load_after(conn(first), s, true) < limit;
+            let fits = |s: &Server| self.load_after(conn(first), s) < limit;
             self.state
                 .servers
                 .values()
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -75,9 +75,8 @@
     pub now: Secs,
     pub servers: BTreeMap<ServerId, Server>,
     pub conns: BTreeMap<RequestId, Conn>,
-    /// The load and number of own connections and attempts.
+    /// The load of own connections and attempts.
     load: f64,
-    joined: usize,
     /// Own connections and attempts of each class.
     pub classes: Vec<usize>,
     /// Own requests of each tenant.
@@ -93,7 +92,6 @@
             servers: BTreeMap::new(),
             conns: BTreeMap::new(),
             load: 0.0,
-            joined: 0,
             classes: vec![0; classes],
             tenants: vec![0; tenants],
             loads: vec![Default::default(); classes],
@@ -118,16 +116,22 @@
 
     /// The mean load of own connections and attempts, or while there are none what is usual.
     pub fn mean_load(&self) -> f64 {
-        if self.joined > 0 && self.load > 0.0 {
-            return self.load / self.joined as f64;
+        let joined = self.joined();
+        if joined > 0 && self.load > 0.0 {
+            return self.load / joined as f64;
         }
+        self.usual_load()
+    }
+
+    /// The mean of all loads lately told, or 1 while there are none.
+    fn usual_load(&self) -> f64 {
         let (told, number) = self.told(&self.loads);
         if told > 0.0 { told / number } else { 1.0 }
     }
 
     /// The number of own connections and attempts.
     pub fn joined(&self) -> usize {
-        self.joined
+        self.classes.iter().sum()
     }
 
     /// Loads lately told and their number.
@@ -160,9 +164,7 @@
     /// The usual load of a class, drawn to that of all while little of it has been told.
     fn class_load(&self, class: usize) -> f64 {
         let (told, number) = self.told(&self.loads[class..=class]);
-        let (all, all_number) = self.told(&self.loads);
-        let usual = if all > 0.0 { all / all_number } else { 1.0 };
-        (told + usual) / (number + 1.0)
+        (told + self.usual_load()) / (number + 1.0)
     }
 
     pub fn on_load(&mut self, id: RequestId, load: f64) {
@@ -195,7 +197,6 @@
         server.own.insert(id);
         server.load += conn.load;
         self.load += conn.load;
-        self.joined += 1;
         self.classes[conn.request.class] += 1;
         if let Some(group) = conn.request.group {
             *server.groups.entry(group).or_default() += 1;
@@ -214,7 +215,6 @@
         server.own.remove(&id);
         server.load = (server.load - conn.load).max(0.0);
         self.load = (self.load - conn.load).max(0.0);
-        self.joined -= 1;
         self.classes[conn.request.class] -= 1;
         if let Some(group) = conn.request.group {
             let left = server.groups.get_mut(&group).expect("joined before");
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -228,19 +228,13 @@
     })
 }
 
-/// What a line means to its instance.
-#[derive(Debug)]
-pub enum Message {
-    Event(Event),
-    Nothing,
-}
-
+/// The event of a line, unless it means nothing to the module.
 pub fn event(
     name: &str,
     fields: &Fields,
-    names: &mut Names,
+    names: &Names,
     lists: &BTreeMap<u64, Vec<Row>>,
-) -> Result<Message, String> {
+) -> Result<Option<Event>, String> {
     let event = match name {
         "DISCOVERY" => servers(fields, names, lists)?,
         "ORDER" => Event::Request(request(fields, names)?),
@@ -260,15 +254,15 @@
             match fields.int("what")? {
                 1 => Event::LoadNote(id, value / 1e6),
                 2 => Event::DelayNote(fields.server()?, value / 1e3),
-                _ => return Ok(Message::Nothing),
+                _ => return Ok(None),
             }
         }
         "CHECK_RESULT" => Event::Probed(fields.server()?, outcome(fields)?, report(fields)?),
         "ELAPSED" => Event::Timer(fields.int("nonce")?),
-        "MAIL" => return Ok(Message::Nothing),
+        "MAIL" => return Ok(None),
         _ => return Err(format!("{name}: expected the name of an event")),
     };
-    Ok(Message::Event(event))
+    Ok(Some(event))
 }
 
 fn servers(
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -8,7 +8,7 @@
 use violetwind_balancer::Balancer;
 use violetwind_balancer::api::{Action, Event, Secs};
 
-use crate::codec::{self, Fields, Message, Names, Row};
+use crate::codec::{self, Fields, Names, Row};
 
 /// Why the host stopped before the end of its input.
 #[derive(Debug)]
@@ -143,14 +143,13 @@
                 self.replies.retain(|reply| reply.instance != id);
             }
             _ => {
-                let Some(instance) = self.instances.get_mut(&id) else {
+                let Some(instance) = self.instances.get(&id) else {
                     return Err(format!(
                         "{name}: expected LAUNCH of instance {id} before it"
                     ));
                 };
-                match codec::event(name, fields, &mut instance.names, &self.lists)? {
-                    Message::Event(event) => self.hand(now, id, event),
-                    Message::Nothing => {}
+                if let Some(event) = codec::event(name, fields, &instance.names, &self.lists)? {
+                    self.hand(now, id, event);
                 }
             }
         }
