Probe only servers in use, at a price-bound interval; count placements by what a server gets

Own placements, and the margin of near-equals, count for no more peers than a server usually gets connections in the age of a report. The part of a server's excess that one balancer moves is its part of the server's load; before it was a guess from the fleet's size.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -74,8 +74,10 @@
     pub fall_for: Secs,
     /// Connections of one group share work on a server.
     pub groups: bool,
-    /// What a request that crosses zones costs, and what one beyond its tenant's share is worth.
+    /// What a request that crosses zones costs, and a probe for each request, and what a request
+    /// beyond its tenant's share is worth.
     pub price_cross_zone: f64,
+    pub price_probe: f64,
     pub over_share_worth: f64,
 }
 
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -24,8 +24,13 @@
 const LESS_ROOM: f64 = 0.1;
 /// Load over capacity beyond which connections go even if there is no room for them elsewhere.
 const DROWNING: f64 = 0.93;
-/// Time between two probes of a server.
+/// Time between two probes of a server, if they are cheap, and the design's longest.
 const PROBE_EVERY: Secs = 1.0;
+const PROBE_RARELY: Secs = 5.0;
+/// What probing may cost of the worth of the requests that come meanwhile.
+const PROBE_BUDGET: f64 = 0.01;
+/// A server is probed for so long after this balancer last sent to it.
+const USED: Secs = 10.0;
 /// A report may show the state of so long ago; own placements since then are added to it.
 const REPORT_AGE: Secs = 2.0;
 /// Load that a price of one for a zone crossing is worth.
@@ -95,6 +100,7 @@
             Event::Servers(kind, entries) => self.on_list(kind, entries, out),
             Event::Request(request) => {
                 let id = request.id;
+                self.state.count_request();
                 self.state.adopt(request);
                 self.place(id, out);
             }
@@ -102,6 +108,7 @@
                 let id = request.id;
                 self.state.adopt(request);
                 self.state.join(id, server, Phase::Open(server));
+                self.start_probing(server, out);
             }
             Event::Begun(id, server) => {
                 self.successes.add(now, FORGIVE, 1.0);
@@ -170,18 +177,12 @@
                 // What is known of an old process no longer holds.
                 (server.figure, server.suspect, server.errors) = Default::default();
             }
-            let up = entry.status == Status::Up;
             server.entry = Some(entry);
             if fresh && server.cold_rest(self.state.now, &self.set) > 0.0 {
                 // Proxies hear of a cold server together: their first connections are spread out.
                 server.cold_until = self.state.now + self.rng.random_range(0.0..self.set.fall_for);
             }
-            if up && !server.probing && self.set.may_probe {
-                server.probing = true;
-                out.push(Action::Probe(id));
-                let after = self.rng.random_range(0.0..PROBE_EVERY);
-                out.push(Action::Timer(after, TIMER_PROBE + u64::from(id)));
-            }
+            self.start_probing(id, out);
         }
         if kind == ListKind::Restored {
             self.ask(out);
@@ -197,15 +198,44 @@
 
     // Probes and what they tell.
 
+    /// The time between two probes of a server for which `probed` of them cost what they may.
+    fn probe_interval(&self, probed: usize) -> Secs {
+        self.set.price_probe * probed as f64
+            / (self.state.rate() * PROBE_BUDGET).max(f64::MIN_POSITIVE)
+    }
+
+    /// Whether to probe a server: all where that costs little, else those that this balancer uses,
+    /// and silent ones, until they answer.
+    fn worth_probing(&self, server: &Server) -> bool {
+        let used =
+            !server.own.is_empty() || server.suspect || self.state.now < server.sent_at + USED;
+        let all = self.probe_interval(self.state.servers.len()) <= PROBE_RARELY;
+        server.up() && self.set.may_probe && (used || all)
+    }
+
+    fn start_probing(&mut self, id: ServerId, out: &mut Vec<Action>) {
+        let server = &self.state.servers[&id];
+        if !server.probing && self.worth_probing(server) {
+            self.state.set_probing(id, true);
+            self.on_probe_timer(id, out);
+        }
+    }
+
     fn on_probe_timer(&mut self, id: ServerId, out: &mut Vec<Action>) {
-        let again = PROBE_EVERY * self.rng.random_range(0.9..1.1);
-        self.state.server(id, |server| {
-            server.probing = server.up();
-            if server.probing {
-                out.push(Action::Probe(id));
-                out.push(Action::Timer(again, TIMER_PROBE + u64::from(id)));
-            }
-        });
+        let Some(server) = self.state.servers.get(&id).filter(|s| s.probing) else {
+            return;
+        };
+        if !self.worth_probing(server) {
+            // An old figure says nothing; the server counts at the others' mean again.
+            self.state.server(id, |server| server.figure = None);
+            return self.state.set_probing(id, false);
+        }
+        let every = self
+            .probe_interval(self.state.probing)
+            .clamp(PROBE_EVERY, PROBE_RARELY);
+        out.push(Action::Probe(id));
+        let again = every * self.rng.random_range(0.9..1.1);
+        out.push(Action::Timer(again, TIMER_PROBE + u64::from(id)));
     }
 
     /// Takes the figure of a report, in the design's metric order.
@@ -214,11 +244,8 @@
         // A figure that is no number, negative or infinite says nothing; a huge one no more than a
         // large one, or it would set what is learned of all servers.
         if let Some(figure) = figure.filter(|f| f.is_finite() && *f >= 0.0) {
-            let figure = if report.load.is_some() {
-                figure.min(PLAUSIBLE)
-            } else {
-                figure
-            };
+            let loads = report.load.is_some();
+            let figure = figure.min(if loads { PLAUSIBLE } else { f64::MAX });
             let held_since = self.state.now - REPORT_AGE;
             self.state.server(id, |server| {
                 server.figure = Some(figure);
@@ -236,26 +263,8 @@
     /// Learns what a unit of load adds to a figure, from servers of a kind together and most from
     /// those that hold most of this balancer's load, as its peers' load is unknown.
     fn learn_units(&mut self) {
-        let mut sums: BTreeMap<Option<usize>, (f64, f64, f64)> = BTreeMap::new();
-        let (mut figures, mut heard) = (0.0, 0.0);
-        // A server cut off keeps its old figure while all own connections to it are lost.
-        let sound = |s: &&Server| s.up() && !s.suspect;
-        for server in self.state.servers.values().filter(sound) {
-            let (Some(figure), load) = (server.figure, server.load) else {
-                continue;
-            };
-            (figures, heard) = (figures + figure, heard + 1.0);
-            // A cold one is not yet what it will be, and alone of its kind would seem boundless.
-            if server.cold_rest(self.state.now, &self.set) == 0.0 {
-                for kind in [server.kind(), None] {
-                    let sum = sums.entry(kind).or_default();
-                    *sum = (sum.0 + figure * load, sum.1 + load * load, sum.2 + 1.0);
-                }
-            }
-        }
-        if heard > 0.0 {
-            self.mean_figure = figures / heard;
-        }
+        let (sums, mean_figure) = self.state.figures(&self.set);
+        self.mean_figure = mean_figure.unwrap_or(self.mean_figure);
         // After an own restart little own load stands beside all the others' and says little. Then a
         // guess weighs more, or servers would seem too small to take anything, for good.
         let usual = self.state.mean_load();
@@ -333,7 +342,9 @@
                 .retain(|(at, _)| *at > now - 10.0 * REPORT_AGE);
             server.pending.push((now, load));
             server.cold_until = now + gap;
+            server.sent_at = now;
         });
+        self.start_probing(to, out);
         out.push(Action::Send(id, to, left.min(aim.max(left / 2.0))));
     }
 
@@ -352,8 +363,7 @@
         if !self.set.report_fields.contains(&Field::Load) {
             return f64::INFINITY;
         }
-        let held = self.set.classes.iter().zip(&self.state.classes);
-        let usual: f64 = held.map(|(class, &n)| class.worth * n as f64).sum();
+        let usual = self.state.worth_held(&self.set);
         let worth = self.worth(&conn.request) * self.state.mean_load() * self.state.joined() as f64;
         let less = 1.0 - (worth / (conn.load * usual).max(f64::MIN_POSITIVE)).min(1.0);
         ADMIT * (1.0 - LESS_ROOM * less)
@@ -361,19 +371,12 @@
 
     /// What a request is worth; little beyond its tenant's share.
     fn worth(&self, request: &Request) -> f64 {
-        let over = if self.over_share(request) {
-            self.set.over_share_worth
-        } else {
-            1.0
-        };
-        over * self.set.classes[request.class].worth
-    }
-
-    fn over_share(&self, request: &Request) -> bool {
-        request.tenant.is_some_and(|tenant| {
+        let over = request.tenant.is_some_and(|tenant| {
             let quota = self.set.tenants[tenant].quota.unwrap_or(f64::INFINITY);
             self.state.tenants[tenant] as f64 > quota / self.set.fleet_size as f64
-        })
+        });
+        let part = if over { self.set.over_share_worth } else { 1.0 };
+        part * self.set.classes[request.class].worth
     }
 
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -398,16 +401,7 @@
         let Some((first, at)) = conn.may_have_run else {
             return true;
         };
-        let entry = |server: &Server| server.entry.as_ref().map(|e| (e.zone, e.cell));
-        let (first, next) = (
-            self.state.servers.get(&first).and_then(entry),
-            entry(server),
-        );
-        let together = match class.scope {
-            Scope::All => true,
-            Scope::Zone => first.is_some() && first.map(|e| e.0) == next.map(|e| e.0),
-            Scope::Cell => first.is_some() && first.map(|e| e.1) == next.map(|e| e.1),
-        };
+        let together = self.state.together(class.scope, first, server);
         class.effect == Effect::Safe
             || class.effect == Effect::Keyed && together && self.state.now < at + class.window
     }
@@ -442,7 +436,10 @@
             }
         }
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
-        let near = best + self.units[&None] * conn.load * (self.set.fleet_size - 1) as f64 / 2.0;
+        let peers = self
+            .usual_placements()
+            .min((self.set.fleet_size - 1) as f64);
+        let near = best + self.units[&None] * conn.load * peers / 2.0;
         ranked.retain(|r| r.0 <= near);
         let pick = self.rng.random_range(0..ranked.len().max(1));
         ranked.get(pick).map(|r| r.1)
@@ -462,14 +459,26 @@
         self.load_now(server) + added * self.unit_of(server)
     }
 
-    /// The probed figure, and own placements since, with as many by each peer that places here: as
-    /// room gets short in all zones, that is every one.
+    /// The probed figure, and own placements since, with as many by each peer that is taken to
+    /// place here too.
     fn load_now(&self, server: &Server) -> f64 {
         let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
+        server.figure.unwrap_or(self.mean_figure) + pending * self.unit_of(server) * self.crowd()
+    }
+
+    /// How many balancers place where this one does before reports show it: those of its zone, and
+    /// as room gets short in all zones every one. In a large fleet each places too rarely for that:
+    /// no more are counted than connections that all of them then give a server.
+    fn crowd(&self) -> f64 {
         let fleet = self.set.fleet_size as f64;
         let peers = self.sharers() + (fleet - self.sharers()) * self.scarcity();
-        let pending = pending * self.unit_of(server) * peers;
-        server.figure.unwrap_or(self.mean_figure) + pending
+        peers.min(1.0 + self.usual_placements())
+    }
+
+    /// The connections that all balancers give a server in the time that reports are late.
+    fn usual_placements(&self) -> f64 {
+        let fleet = self.set.fleet_size as f64;
+        fleet * self.state.rate() * REPORT_AGE / self.state.servers.len().max(1) as f64
     }
 
     /// How short room is, from 0 to 1.
@@ -497,12 +506,8 @@
     fn surcharge(&self, server: &Server) -> f64 {
         let zone = server.entry.as_ref().and_then(|entry| entry.zone);
         let crosses = zone.is_some() && zone != self.set.zone;
-        let cross = if crosses {
-            CROSS_LOAD * self.set.price_cross_zone
-        } else {
-            0.0
-        };
-        cross + server.errors.get(self.state.now, FORGIVE)
+        let cross = CROSS_LOAD * self.set.price_cross_zone;
+        f64::from(crosses) * cross + server.errors.get(self.state.now, FORGIVE)
     }
 
     /// The least time between two connections to a cold server, from what warm ones take.
@@ -554,21 +559,18 @@
                 .values()
                 .any(|s| self.open(s) && !s.suspect && fits(s))
         });
-        let all = if by_load && load_now > DROWNING {
-            own.len()
-        } else {
-            0
+        let (most, limit) = match room {
+            true => (1, limit),
+            false if by_load && load_now > DROWNING => (own.len(), DROWNING),
+            false => return,
         };
-        let most = if room { 1 } else { all };
         // Peers see the same figure: all together should move what is over, not each of them.
-        let unit = self.unit_of(server) * self.sharers();
-        let mut over = load_now - if room { limit } else { DROWNING };
+        let mut part = server.load * (load_now - limit) / load_now;
         for id in own.into_iter().take(most) {
-            let eases = conn(&id).load * unit;
-            if self.rng.random::<f64>() * eases < over {
+            if self.rng.random::<f64>() * conn(&id).load < part {
                 out.push(Action::Move(id));
             }
-            over -= eases;
+            part -= conn(&id).load;
         }
     }
 
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -7,9 +7,13 @@
 use crate::api::*;
 use crate::fading::Fading;
 
-/// Time constant of the usual load of a class.
+/// Time constant of the usual load of a class, and of the own rate of requests.
 const MEMORY: Secs = 15.0;
 
+/// For each kind of server, and for all (`None`): figures times own load, own load squared, and the
+/// number of servers.
+pub type KindSums = BTreeMap<Option<usize>, (f64, f64, f64)>;
+
 #[derive(Debug, Default)]
 pub struct Server {
     /// The list's latest word on it.
@@ -29,6 +33,8 @@
     /// When a cold server may get its next connection.
     pub cold_until: Secs,
     pub probing: bool,
+    /// When this balancer last sent to it.
+    pub sent_at: Secs,
 }
 
 impl Server {
@@ -77,6 +83,11 @@
     pub conns: BTreeMap<RequestId, Conn>,
     /// The load of own connections and attempts.
     load: f64,
+    /// The number of servers that are probed.
+    pub probing: usize,
+    /// Requests lately, and when the first one came.
+    requests: Fading,
+    first_request: Option<Secs>,
     /// Own connections and attempts of each class.
     pub classes: Vec<usize>,
     /// Own requests of each tenant.
@@ -92,6 +103,9 @@
             servers: BTreeMap::new(),
             conns: BTreeMap::new(),
             load: 0.0,
+            probing: 0,
+            requests: Fading::default(),
+            first_request: None,
             classes: vec![0; classes],
             tenants: vec![0; tenants],
             loads: vec![Default::default(); classes],
@@ -114,6 +128,67 @@
         }
     }
 
+    pub fn set_probing(&mut self, id: ServerId, probing: bool) {
+        self.server(id, |server| server.probing = probing);
+        self.probing = if probing {
+            self.probing + 1
+        } else {
+            self.probing - 1
+        };
+    }
+
+    pub fn count_request(&mut self) {
+        self.first_request.get_or_insert(self.now);
+        self.requests.add(self.now, MEMORY, 1.0);
+    }
+
+    /// Own requests a second.
+    pub fn rate(&self) -> f64 {
+        let heard_for = self.now - self.first_request.unwrap_or(self.now);
+        // What has not come for long yet can't have faded; the first second tells little.
+        let span = MEMORY * (1.0 - (-heard_for.max(1.0) / MEMORY).exp());
+        self.requests.get(self.now, MEMORY) / span
+    }
+
+    /// The sums over sound servers with a figure, and the mean figure, if any is known.
+    pub fn figures(&self, set: &Settings) -> (KindSums, Option<f64>) {
+        let mut sums = KindSums::new();
+        let (mut figures, mut heard) = (0.0, 0.0);
+        // A server cut off keeps its old figure while all own connections to it are lost.
+        let sound = |s: &&Server| s.up() && !s.suspect;
+        for server in self.servers.values().filter(sound) {
+            let (Some(figure), load) = (server.figure, server.load) else {
+                continue;
+            };
+            (figures, heard) = (figures + figure, heard + 1.0);
+            // A cold one is not yet what it will be, and alone of its kind would seem boundless.
+            if server.cold_rest(self.now, set) == 0.0 {
+                for kind in [server.kind(), None] {
+                    let sum = sums.entry(kind).or_default();
+                    *sum = (sum.0 + figure * load, sum.1 + load * load, sum.2 + 1.0);
+                }
+            }
+        }
+        (sums, (heard > 0.0).then(|| figures / heard))
+    }
+
+    /// The worth a second of all own connections and attempts.
+    pub fn worth_held(&self, set: &Settings) -> f64 {
+        let held = set.classes.iter().zip(&self.classes);
+        held.map(|(class, &n)| class.worth * n as f64).sum()
+    }
+
+    /// Whether a server drops repeats of what ran on the `first`.
+    pub fn together(&self, scope: Scope, first: ServerId, next: &Server) -> bool {
+        let entry = |server: &Server| server.entry.as_ref().map(|e| (e.zone, e.cell));
+        let (first, next) = (self.servers.get(&first).and_then(entry), entry(next));
+        match scope {
+            Scope::All => true,
+            Scope::Zone => first.is_some() && first.map(|e| e.0) == next.map(|e| e.0),
+            Scope::Cell => first.is_some() && first.map(|e| e.1) == next.map(|e| e.1),
+        }
+    }
+
     /// The mean load of own connections and attempts, or while there are none what is usual.
     pub fn mean_load(&self) -> f64 {
         let joined = self.joined();
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -40,6 +40,7 @@
         fall_for: 2.0,
         groups: false,
         price_cross_zone: 0.1,
+        price_probe: 0.0,
         over_share_worth: 0.1,
     }
 }
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -196,6 +196,7 @@
         fall_for: facts.number_or("rules.overload-for-s", 1.0)?,
         groups: facts.flag("family-info.groups")?,
         price_cross_zone: facts.number_or("prices.cross-zone", 0.0)?,
+        price_probe: facts.number_or("prices.probe", 0.0)?,
         over_share_worth: facts.number_or("over-share-worth", 1.0)?,
     };
     Ok((settings, names))
