--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -4,6 +4,7 @@
 //! server, and move a connection off a server whose probed load passes a threshold.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -24,6 +25,8 @@
 const LESS_ROOM: f64 = 0.1;
 /// Load over capacity beyond which connections go even if there is no room for them elsewhere.
 const DROWNING: f64 = 0.93;
+/// What moves at once over what a figure shows to be too much: it is late.
+const HASTE: f64 = 2.0;
 /// Time between two probes of a server, if they are cheap, and the design's longest.
 const PROBE_EVERY: Secs = 1.0;
 const PROBE_RARELY: Secs = 5.0;
@@ -217,7 +220,8 @@
         let server = &self.state.servers[&id];
         if !server.probing && self.worth_probing(server) {
             self.state.set_probing(id, true);
-            self.on_probe_timer(id, out);
+            // Servers heard of together are not probed together for good.
+            self.probe(id, 0.0..1.0, out);
         }
     }
 
@@ -225,16 +229,20 @@
         let Some(server) = self.state.servers.get(&id).filter(|s| s.probing) else {
             return;
         };
-        if !self.worth_probing(server) {
-            // An old figure says nothing; the server counts at the others' mean again.
-            self.state.server(id, |server| server.figure = None);
-            return self.state.set_probing(id, false);
+        if self.worth_probing(server) {
+            return self.probe(id, 0.9..1.1, out);
         }
-        let every = self
-            .probe_interval(self.state.probing)
-            .clamp(PROBE_EVERY, PROBE_RARELY);
+        // An old figure says nothing; the server counts at the others' mean again.
+        self.state.server(id, |server| server.figure = None);
+        self.state.set_probing(id, false);
+    }
+
+    /// Probes a server, and again after such a part of the present interval.
+    fn probe(&mut self, id: ServerId, part: Range<f64>, out: &mut Vec<Action>) {
+        let every = self.probe_interval(self.state.probing);
+        let every = every.clamp(PROBE_EVERY, PROBE_RARELY);
         out.push(Action::Probe(id));
-        let again = every * self.rng.random_range(0.9..1.1);
+        let again = every * self.rng.random_range(part);
         out.push(Action::Timer(again, TIMER_PROBE + u64::from(id)));
     }
 
@@ -565,7 +573,7 @@
             false => return,
         };
         // Peers see the same figure: all together should move what is over, not each of them.
-        let mut part = server.load * (load_now - limit) / load_now;
+        let mut part = HASTE * server.load * (load_now - limit) / load_now;
         for id in own.into_iter().take(most) {
             if self.rng.random::<f64>() * conn(&id).load < part {
                 out.push(Action::Move(id));
