Ask an unknown server for its load first; common order by place; the whole cold gap

The common order of a group's servers was a number from 0 to 1, too flat among a hundred. A mean of few full servers had the rest refused. The cap on a cold server's gap passed the fall budget at 300 balancers.

Now: servers are ranked along the group's common order (rendezvous hashing, own zone first, 32 of each part), by place; a server whose figure is older than 2 s is asked before it is sent to, within 0.3 of the aim and four times a request at most; a figure older than 7 s means nothing; a cold server's gap is the whole of what the budget says and first turns are random over it.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -54,6 +54,8 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub fleet_size: usize,
+    /// This balancer's number among them.
+    pub me: u64,
     pub zone: Option<usize>,
     /// How many zones there are.
     pub zones: usize,
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -11,7 +11,7 @@
 
 use crate::api::*;
 use crate::fading::Fading;
-use crate::state::{Conn, Phase, Server, State, spread};
+use crate::state::{Conn, Phase, Server, State};
 
 /// Load over capacity beyond which a connection is moved off a server.
 const THRESHOLD: f64 = 0.85;
@@ -32,8 +32,6 @@
 const PROBE_RARELY: Secs = 5.0;
 /// What probing may cost of the worth of the requests that come meanwhile.
 const PROBE_BUDGET: f64 = 0.01;
-/// A server is probed for so long after this balancer last sent to it.
-const USED: Secs = 10.0;
 /// A report may show the state of so long ago; own placements since then are added to it.
 const REPORT_AGE: Secs = 2.0;
 /// Load that a price of one for a zone crossing is worth.
@@ -42,6 +40,10 @@
 const GROUP_COST: f64 = 2.0;
 /// By this many times its cost a server without the group ranks behind: the cost stays for long.
 const GROUP_SHUN: f64 = 8.0;
+/// By the same again a server ranks behind for each so many places in the group's common order.
+const PLACES: f64 = 1.5;
+/// How many servers of a common order, of the own zone and of the others, are ranked for a request.
+const CANDIDATES: usize = 32;
 /// So many usual connections a server is taken to hold until it is learned.
 const USUAL_HELD: f64 = 50.0;
 /// That guess weighs as much as so many own connections on each server.
@@ -54,6 +56,12 @@
 const FORGIVE: Secs = 5.0;
 /// Attempts per success beyond which the service as a whole is taken to be failing.
 const TOLERATED: f64 = 2.0;
+/// The part of its aim that a request may wait for a fresh figure of its server.
+const ASK_PART: f64 = 0.3;
+/// How many servers are asked for a figure for one request at most.
+const ASKS: usize = 4;
+/// A figure so old means nothing.
+const FORGOTTEN: Secs = 7.0;
 /// How often requests that found no server are tried again.
 const WAIT_EVERY: Secs = 0.05;
 /// Recent failures beyond which a server is ejected until they are forgiven.
@@ -74,7 +82,6 @@
     subscribed: bool,
     /// What one unit of load adds to the figure of a server of each kind, and of any (`None`).
     units: BTreeMap<Option<usize>, f64>,
-    mean_figure: f64,
     failures: Fading,
     successes: Fading,
 }
@@ -88,7 +95,6 @@
             wait_timer: false,
             subscribed: false,
             units: BTreeMap::from([(None, 1.0 / USUAL_HELD)]),
-            mean_figure: 0.0,
             failures: Fading::default(),
             successes: Fading::default(),
             set,
@@ -102,23 +108,16 @@
             Event::Start | Event::DelayNote(..) => {}
             Event::Servers(kind, entries) => self.on_list(kind, entries, out),
             Event::Request(request) => {
-                let id = request.id;
-                self.state.count_request();
-                self.state.adopt(request);
+                let id = self.state.on_request(request);
                 self.place(id, out);
             }
             Event::Open(request, server) => {
-                let id = request.id;
-                self.state.adopt(request);
-                self.state.join(id, server, Phase::Open(server));
+                self.state.on_open(request, server);
                 self.start_probing(server, out);
             }
             Event::Begun(id, server) => {
                 self.successes.add(now, FORGIVE, 1.0);
-                if let Some(conn) = self.state.conns.get_mut(&id) {
-                    conn.phase = Phase::Open(server);
-                    self.state.server(server, |s| s.suspect = false);
-                }
+                self.state.begin(id, server);
             }
             Event::Outcome(ended) => {
                 self.hear(ended.server, ended.report);
@@ -135,22 +134,13 @@
             Event::LoadNote(id, load) => self.state.on_load(id, load),
             Event::Probed(server, outcome, report) => {
                 self.hear(server, report);
-                match outcome {
-                    Outcome::Ok => {
-                        self.state.server(server, |s| s.suspect = false);
-                        self.relieve(server, out);
-                    }
-                    // A server that turns probes away is alive.
-                    Outcome::Full | Outcome::Cancelled | Outcome::NotSent => {}
-                    _ => self.state.server(server, |s| s.suspect = true),
-                }
+                self.on_probed(server, outcome, out);
+                self.place_waiting(out);
             }
             Event::Timer(TIMER_ASK) => self.ask(out),
             Event::Timer(TIMER_WAIT) => {
                 self.wait_timer = false;
-                for id in std::mem::take(&mut self.waiting) {
-                    self.place(id, out);
-                }
+                self.place_waiting(out);
             }
             Event::Timer(token) if token >= TIMER_PROBE => {
                 self.on_probe_timer((token - TIMER_PROBE) as ServerId, out);
@@ -166,12 +156,12 @@
             // A random wait, so that proxies that lost the list together don't ask together.
             self.subscribed = false;
             let after = self.set.ask_within * self.rng.random_range(0.05..0.2);
-            out.push(Action::Timer(after, TIMER_ASK));
-            return;
+            return out.push(Action::Timer(after, TIMER_ASK));
         }
         if kind != ListKind::Update {
             self.state.keep_only(&entries);
         }
+        self.state.forget_orders();
         for entry in entries {
             let id = entry.server;
             let server = self.state.servers.entry(id).or_default();
@@ -181,9 +171,11 @@
                 (server.figure, server.suspect, server.errors) = Default::default();
             }
             server.entry = Some(entry);
-            if fresh && server.cold_rest(self.state.now, &self.set) > 0.0 {
+            if fresh {
                 // Proxies hear of a cold server together: their first connections are spread out.
-                server.cold_until = self.state.now + self.rng.random_range(0.0..self.set.fall_for);
+                let gap = self.cold_gap(&self.state.servers[&id]);
+                let turn = self.state.now + gap * self.rng.random_range(0.0..1.0);
+                self.state.server(id, |server| server.cold_until = turn);
             }
             self.start_probing(id, out);
         }
@@ -203,15 +195,14 @@
 
     /// The time between two probes of a server for which `probed` of them cost what they may.
     fn probe_interval(&self, probed: usize) -> Secs {
-        self.set.price_probe * probed as f64
-            / (self.state.rate() * PROBE_BUDGET).max(f64::MIN_POSITIVE)
+        let affordable = (self.state.rate() * PROBE_BUDGET).max(f64::MIN_POSITIVE);
+        (self.set.price_probe * probed as f64 / affordable).max(PROBE_EVERY)
     }
 
     /// Whether to probe a server: all where that costs little, else those that this balancer uses,
     /// and silent ones, until they answer.
     fn worth_probing(&self, server: &Server) -> bool {
-        let used =
-            !server.own.is_empty() || server.suspect || self.state.now < server.sent_at + USED;
+        let used = server.suspect || !server.own.is_empty();
         let all = self.probe_interval(self.state.servers.len()) <= PROBE_RARELY;
         server.up() && self.set.may_probe && (used || all)
     }
@@ -239,25 +230,42 @@
 
     /// Probes a server, and again after such a part of the present interval.
     fn probe(&mut self, id: ServerId, part: Range<f64>, out: &mut Vec<Action>) {
-        let every = self.probe_interval(self.state.probing);
-        let every = every.clamp(PROBE_EVERY, PROBE_RARELY);
+        let every = self.probe_interval(self.state.probing).min(PROBE_RARELY);
         out.push(Action::Probe(id));
+        self.state.server(id, |server| server.in_round = true);
         let again = every * self.rng.random_range(part);
         out.push(Action::Timer(again, TIMER_PROBE + u64::from(id)));
     }
 
+    fn on_probed(&mut self, id: ServerId, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(server) = self.state.servers.get_mut(&id) else {
+            return;
+        };
+        server.heard_at = Some(self.state.now);
+        // Asking more often must not move more: one probe a round may.
+        let in_round = std::mem::take(&mut server.in_round);
+        match outcome {
+            // A server that turns probes away is alive.
+            Outcome::Full | Outcome::Cancelled | Outcome::NotSent => {}
+            _ => server.suspect = outcome != Outcome::Ok,
+        }
+        if in_round && outcome == Outcome::Ok {
+            self.relieve(id, out);
+        }
+    }
+
     /// Takes the figure of a report, in the design's metric order.
     fn hear(&mut self, id: ServerId, report: Report) {
         let figure = report.load.or(report.connections).or(report.queue);
         // A figure that is no number, negative or infinite says nothing; a huge one no more than a
         // large one, or it would set what is learned of all servers.
         if let Some(figure) = figure.filter(|f| f.is_finite() && *f >= 0.0) {
-            let loads = report.load.is_some();
-            let figure = figure.min(if loads { PLAUSIBLE } else { f64::MAX });
-            let held_since = self.state.now - REPORT_AGE;
+            let most = report.load.map_or(f64::MAX, |_| PLAUSIBLE);
+            let now = self.state.now;
             self.state.server(id, |server| {
-                server.figure = Some(figure);
-                server.pending.retain(|(at, _)| *at > held_since);
+                server.figure = Some(figure.min(most));
+                server.heard_at = Some(now);
+                server.pending.retain(|(at, _)| *at > now - REPORT_AGE);
             });
             self.learn_units();
         }
@@ -271,8 +279,7 @@
     /// Learns what a unit of load adds to a figure, from servers of a kind together and most from
     /// those that hold most of this balancer's load, as its peers' load is unknown.
     fn learn_units(&mut self) {
-        let (sums, mean_figure) = self.state.figures(&self.set);
-        self.mean_figure = mean_figure.unwrap_or(self.mean_figure);
+        let sums = self.state.sum_figures(&self.set);
         // After an own restart little own load stands beside all the others' and says little. Then a
         // guess weighs more, or servers would seem too small to take anything, for good.
         let usual = self.state.mean_load();
@@ -288,22 +295,18 @@
 
     fn on_outcome(&mut self, ended: Ended, out: &mut Vec<Action>) {
         let (id, server, outcome) = (ended.id, ended.server, ended.outcome);
-        let Some(conn) = self.state.conns.get_mut(&id) else {
+        let Some(was_out) = self.state.end_attempt(&ended) else {
             return;
         };
-        let was_out = conn.phase == Phase::Out(server);
-        if was_out && !outcome.never_ran() {
-            conn.may_have_run.get_or_insert((server, conn.sent_at));
-        }
         let now = self.state.now;
         if was_out && !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::NotSent) {
             let silent = matches!(outcome, Outcome::ConnectFailed | Outcome::TimedOut);
-            self.state.server(server, |s| s.suspect |= silent);
-            self.state
-                .server(server, |s| s.errors.add(now, FORGIVE, 1.0));
             // A server out of reach says nothing about what all servers share.
-            self.failures
-                .add(now, FORGIVE, if silent { 0.0 } else { 1.0 });
+            self.failures.add(now, FORGIVE, f64::from(!silent));
+            self.state.server(server, |server| {
+                server.suspect |= silent;
+                server.errors.add(now, FORGIVE, 1.0);
+            });
         }
         if ended.last {
             self.state.forget(id);
@@ -319,9 +322,11 @@
         let Some(conn) = self.state.conns.get(&id) else {
             return;
         };
-        let left = conn.deadline - self.state.now;
+        let now = self.state.now;
+        let left = conn.deadline - now;
         let aim = self.set.classes[conn.request.class].aim;
         let attempts = conn.tried.len();
+        let may_ask = self.may_ask(conn);
         if left <= 0.0 || attempts >= self.set.max_attempts || self.throttled() {
             return self.give_up(id, out);
         }
@@ -331,31 +336,44 @@
             if open || attempts > 0 || left <= aim {
                 return self.give_up(id, out);
             }
-            self.waiting.insert(id);
-            if !self.wait_timer {
-                self.wait_timer = true;
-                out.push(Action::Timer(WAIT_EVERY, TIMER_WAIT));
-            }
-            return;
+            return self.wait(id, out);
         };
-        let gap = self.cold_gap(&self.state.servers[&to]);
+        let server = &self.state.servers[&to];
+        if may_ask && !server.heard_since(now - REPORT_AGE) {
+            // Balancers that never used a server would all take it for a usual one, full or not.
+            if !server.asked_since(now - REPORT_AGE) {
+                out.push(Action::Probe(to));
+                self.state.server(to, |s| s.asked_at = Some(now));
+                self.state.count_ask(id);
+            }
+            return self.wait(id, out);
+        }
+        let gap = self.cold_gap(server);
         let conn = &self.state.conns[&id];
-        let load = conn.load + self.group_load(conn, &self.state.servers[&to]);
+        let load = conn.load + self.group_load(conn, server);
         self.state.join(id, to, Phase::Out(to));
-        let now = self.state.now;
         self.state.server(to, |server| {
-            // Without reports nothing else would ever end the count of placements.
-            server
-                .pending
-                .retain(|(at, _)| *at > now - 10.0 * REPORT_AGE);
-            server.pending.push((now, load));
+            server.pend(now, load);
             server.cold_until = now + gap;
-            server.sent_at = now;
         });
         self.start_probing(to, out);
         out.push(Action::Send(id, to, left.min(aim.max(left / 2.0))));
     }
 
+    fn wait(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        self.waiting.insert(id);
+        if !self.wait_timer {
+            self.wait_timer = true;
+            out.push(Action::Timer(WAIT_EVERY, TIMER_WAIT));
+        }
+    }
+
+    fn place_waiting(&mut self, out: &mut Vec<Action>) {
+        for id in std::mem::take(&mut self.waiting) {
+            self.place(id, out);
+        }
+    }
+
     /// When far more fails than begins, whatever the server, what they share is failing, such as
     /// the store that set-up needs: sending more keeps it down (adaptive throttling).
     fn throttled(&mut self) -> bool {
@@ -392,10 +410,9 @@
             return;
         };
         let class = &self.set.classes[conn.request.class];
-        let ran = conn.may_have_run.is_some();
         let keyed_for_all = class.effect == Effect::Keyed && class.scope == Scope::All;
         // A refusal promises that a repeat is harmless.
-        if !ran || class.effect == Effect::Safe || keyed_for_all {
+        if conn.may_have_run.is_none() || class.effect == Effect::Safe || keyed_for_all {
             let wait = self.set.max_retry_after * self.rng.random_range(0.5..1.0);
             out.push(Action::Refuse(id, self.set.may_retry_after.then_some(wait)));
         } else {
@@ -416,39 +433,38 @@
 
     // Ranking.
 
-    /// The lowest-ranked server that has room and that the request may go to. Near-equals are drawn
-    /// from at random, since other proxies see the same lowest one.
+    /// The lowest-ranked server that has room and that the request may go to, of the first ones in
+    /// the common order of its group, or of this balancer. Ties are broken at random.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
+        let key = self.state.conns[&id].request.group.unwrap_or(self.set.me);
+        self.state.make_order(key, self.set.zone);
         let conn = &self.state.conns[&id];
-        let limit = self.limit(conn);
+        let now = self.state.now;
+        let (limit, may_ask) = (self.limit(conn), self.may_ask(conn));
         // Outlier ejection: silent and failing servers get nothing while there are others.
-        let sound = self
-            .state
-            .servers
-            .values()
-            .any(|s| self.open(s) && !self.ejected(s));
+        let mut servers = self.state.servers.values();
+        let sound = servers.any(|s| self.open(s) && !self.ejected(s));
         // Room before rank: a group's full server must not hide an idle one. But as room gets short
         // everywhere, a further share of a group costs room that is wanted more elsewhere.
         let scarcity = self.scarcity();
         let mut ranked: Vec<(f64, ServerId)> = Vec::new();
-        for (&id, server) in self.state.servers.iter().filter(|(_, s)| self.open(s)) {
-            let after = self.load_after(conn, server);
+        for (place, id) in self.state.first_of(key, CANDIDATES) {
+            let server = &self.state.servers[&id];
             let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
-            if !(barred || sound && self.ejected(server)) {
-                let group_load = self.group_load(conn, server) * self.unit_of(server);
-                let home = conn.request.group.map_or(0.0, |group| spread(group, id));
-                let shun = GROUP_SHUN * (1.0 + home) * group_load;
-                if after + shun * scarcity <= limit {
-                    ranked.push((after + shun + self.surcharge(server), id));
-                }
+            if !self.open(server) || barred || sound && self.ejected(server) {
+                continue;
+            }
+            let group_load = self.group_load(conn, server) * self.unit_of(server);
+            let shun = GROUP_SHUN * (1.0 + place as f64 / PLACES) * group_load;
+            let after = self.load_after(conn, server);
+            // Whether there is room on an unknown server is asked, not guessed.
+            let unknown = may_ask && server.figure_since(now - FORGOTTEN).is_none();
+            if unknown || after + shun * scarcity <= limit {
+                ranked.push((after + shun + self.surcharge(server), id));
             }
         }
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
-        let peers = self
-            .usual_placements()
-            .min((self.set.fleet_size - 1) as f64);
-        let near = best + self.units[&None] * conn.load * peers / 2.0;
-        ranked.retain(|r| r.0 <= near);
+        ranked.retain(|r| r.0 <= best);
         let pick = self.rng.random_range(0..ranked.len().max(1));
         ranked.get(pick).map(|r| r.1)
     }
@@ -461,17 +477,20 @@
         server.suspect || server.errors.get(self.state.now, FORGIVE) > EJECT
     }
 
-    /// A server's load with the request on it, and with what its group then costs there.
+    /// A server's load with the request on it, and with what its group then costs there: the probed
+    /// figure, and own placements since, with as many by each peer that is taken to place here too.
     fn load_after(&self, conn: &Conn, server: &Server) -> f64 {
-        let added = conn.load + self.group_load(conn, server);
-        self.load_now(server) + added * self.unit_of(server)
+        let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
+        let added = pending * self.crowd() + conn.load + self.group_load(conn, server);
+        let figure = server.figure_since(self.state.now - FORGOTTEN);
+        figure.unwrap_or(self.state.mean_figure) + added * self.unit_of(server)
     }
 
-    /// The probed figure, and own placements since, with as many by each peer that is taken to
-    /// place here too.
-    fn load_now(&self, server: &Server) -> f64 {
-        let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
-        server.figure.unwrap_or(self.mean_figure) + pending * self.unit_of(server) * self.crowd()
+    /// Whether a request may still wait for a figure.
+    fn may_ask(&self, conn: &Conn) -> bool {
+        let waited = self.state.now - (conn.deadline - conn.request.patience);
+        let most = ASK_PART * self.set.classes[conn.request.class].aim;
+        self.set.may_probe && waited <= most && conn.asks < ASKS
     }
 
     /// How many balancers place where this one does before reports show it: those of its zone, and
@@ -480,25 +499,18 @@
     fn crowd(&self) -> f64 {
         let fleet = self.set.fleet_size as f64;
         let peers = self.sharers() + (fleet - self.sharers()) * self.scarcity();
-        peers.min(1.0 + self.usual_placements())
-    }
-
-    /// The connections that all balancers give a server in the time that reports are late.
-    fn usual_placements(&self) -> f64 {
-        let fleet = self.set.fleet_size as f64;
-        fleet * self.state.rate() * REPORT_AGE / self.state.servers.len().max(1) as f64
+        let given = fleet * self.state.rate() * REPORT_AGE;
+        peers.min(1.0 + given / self.state.servers.len().max(1) as f64)
     }
 
     /// How short room is, from 0 to 1.
     fn scarcity(&self) -> f64 {
-        ((self.mean_figure / ADMIT - SCARCE) / (1.0 - SCARCE)).clamp(0.0, 1.0)
+        ((self.state.mean_figure / ADMIT - SCARCE) / (1.0 - SCARCE)).clamp(0.0, 1.0)
     }
 
     fn unit_of(&self, server: &Server) -> f64 {
-        self.units
-            .get(&server.kind())
-            .copied()
-            .unwrap_or(self.units[&None])
+        let of_any = &self.units[&None];
+        *self.units.get(&server.kind()).unwrap_or(of_any)
     }
 
     /// What a connection's group costs on a server that holds none of it yet.
@@ -529,8 +541,7 @@
         // is filled with usual connections over the time that it takes to get warm.
         let full = 1.0 / (self.unit_of(server) * self.state.mean_load()).max(1e-3);
         let budget = COLD_CARE * self.set.fall_multiple * share * full / self.set.cold_for;
-        (self.set.fleet_size as f64 / budget)
-            .clamp(self.set.fall_for / 4.0, self.set.cold_for / 2.0)
+        (self.set.fleet_size as f64 / budget).max(self.set.fall_for / 4.0)
     }
 
     // Moves.
@@ -541,16 +552,11 @@
     /// to be placed or refused.
     fn relieve(&mut self, id: ServerId, out: &mut Vec<Action>) {
         let by_load = self.set.report_fields.contains(&Field::Load);
-        let limit = if by_load {
-            THRESHOLD
-        } else {
-            COUNT_TRIGGER * self.mean_figure
-        };
-        let Some(server) = self.state.servers.get(&id).filter(|s| s.up()) else {
-            return;
-        };
+        let by_count = COUNT_TRIGGER * self.state.mean_figure;
+        let limit = if by_load { THRESHOLD } else { by_count };
+        let server = &self.state.servers[&id];
         let load_now = server.figure.unwrap_or(0.0);
-        if load_now <= limit {
+        if load_now <= limit || !server.up() {
             return;
         }
         let conn = |id: &RequestId| &self.state.conns[id];
@@ -562,10 +568,8 @@
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
         let room = own.first().is_some_and(|first| {
             let fits = |s: &Server| self.load_after(conn(first), s) < limit;
-            self.state
-                .servers
-                .values()
-                .any(|s| self.open(s) && !s.suspect && fits(s))
+            let mut servers = self.state.servers.values();
+            servers.any(|s| self.open(s) && !s.suspect && fits(s))
         });
         let (most, limit) = match room {
             true => (1, limit),
@@ -584,13 +588,9 @@
 
     /// The load that leaves with a connection, its part of its group's cost there included.
     fn leaving_load(&self, conn: &Conn, server: &Server) -> f64 {
-        let sharers = conn
-            .request
-            .group
-            .and_then(|group| server.groups.get(&group));
-        let group = sharers
-            .filter(|_| self.set.groups)
-            .map_or(0.0, |&n| GROUP_COST / n as f64);
-        (conn.load + group * self.state.mean_load()).max(f64::MIN_POSITIVE)
+        let group = conn.request.group.filter(|_| self.set.groups);
+        let holders = group.and_then(|group| server.groups.get(&group));
+        let group_load = holders.map_or(0.0, |&n| GROUP_COST / n as f64);
+        (conn.load + group_load * self.state.mean_load()).max(f64::MIN_POSITIVE)
     }
 }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -14,6 +14,9 @@
 /// number of servers.
 pub type KindSums = BTreeMap<Option<usize>, (f64, f64, f64)>;
 
+/// So long a placement is kept that no report has ended.
+const FORGOTTEN: Secs = 20.0;
+
 #[derive(Debug, Default)]
 pub struct Server {
     /// The list's latest word on it.
@@ -33,8 +36,10 @@
     /// When a cold server may get its next connection.
     pub cold_until: Secs,
     pub probing: bool,
-    /// When this balancer last sent to it.
-    pub sent_at: Secs,
+    /// When a probe was last answered, and last sent for a request; whether one of a round is out.
+    pub heard_at: Option<Secs>,
+    pub asked_at: Option<Secs>,
+    pub in_round: bool,
 }
 
 impl Server {
@@ -44,6 +49,26 @@
             .is_some_and(|entry| entry.status == Status::Up)
     }
 
+    /// Counts a placement. Where no report ever ends the count, old ones are forgotten.
+    pub fn pend(&mut self, now: Secs, load: f64) {
+        self.pending.retain(|(at, _)| *at > now - FORGOTTEN);
+        self.pending.push((now, load));
+    }
+
+    /// Whether a probe was answered, or sent for a request, since then.
+    pub fn heard_since(&self, then: Secs) -> bool {
+        self.heard_at.is_some_and(|at| at >= then)
+    }
+
+    /// The probed figure, if it is no older.
+    pub fn figure_since(&self, then: Secs) -> Option<f64> {
+        self.figure.filter(|_| self.heard_since(then))
+    }
+
+    pub fn asked_since(&self, then: Secs) -> bool {
+        self.asked_at.is_some_and(|at| at >= then)
+    }
+
     /// The part of the warm-up that is still to come; 0 for a warm server.
     pub fn cold_rest(&self, now: Secs, set: &Settings) -> f64 {
         let born = self.entry.as_ref().and_then(|entry| entry.born);
@@ -70,6 +95,8 @@
     pub phase: Phase,
     pub sent_at: Secs,
     pub tried: Vec<ServerId>,
+    /// How many servers were asked for their figure for it.
+    pub asks: usize,
     /// The first attempt that may have run: where and when it was sent.
     pub may_have_run: Option<(ServerId, Secs)>,
     /// Its load in seconds of work a second: as last told, or else as usual for its class.
@@ -83,6 +110,8 @@
     pub conns: BTreeMap<RequestId, Conn>,
     /// The load of own connections and attempts.
     load: f64,
+    /// The mean of the servers' figures.
+    pub mean_figure: f64,
     /// The number of servers that are probed.
     pub probing: usize,
     /// Requests lately, and when the first one came.
@@ -92,6 +121,8 @@
     pub classes: Vec<usize>,
     /// Own requests of each tenant.
     pub tenants: Vec<usize>,
+    /// Listed servers by key in an order common to all balancers, the own zone's and the others'.
+    orders: BTreeMap<u64, [Vec<ServerId>; 2]>,
     /// Per class: loads told and their number.
     loads: Vec<(Fading, Fading)>,
 }
@@ -103,11 +134,13 @@
             servers: BTreeMap::new(),
             conns: BTreeMap::new(),
             load: 0.0,
+            mean_figure: 0.0,
             probing: 0,
             requests: Fading::default(),
             first_request: None,
             classes: vec![0; classes],
             tenants: vec![0; tenants],
+            orders: BTreeMap::new(),
             loads: vec![Default::default(); classes],
         }
     }
@@ -128,6 +161,33 @@
         }
     }
 
+    /// Makes the common order of a key, unless it is known.
+    pub fn make_order(&mut self, key: u64, zone: Option<usize>) {
+        if self.orders.contains_key(&key) {
+            return;
+        }
+        let mut order = [Vec::new(), Vec::new()];
+        for (&id, server) in self.servers.iter().filter(|(_, s)| s.up()) {
+            let of = server.entry.as_ref().and_then(|entry| entry.zone);
+            order[usize::from(of.is_some() && of != zone)].push(id);
+        }
+        for part in &mut order {
+            part.sort_by_cached_key(|id| spread(key, *id));
+        }
+        self.orders.insert(key, order);
+    }
+
+    /// The first servers in the common order of a key, with their places in it.
+    pub fn first_of(&self, key: u64, first: usize) -> impl Iterator<Item = (usize, ServerId)> {
+        let parts = self.orders.get(&key).into_iter().flatten();
+        parts.flat_map(move |part| part.iter().copied().take(first).enumerate())
+    }
+
+    /// What is known of the order of servers no longer holds.
+    pub fn forget_orders(&mut self) {
+        self.orders.clear();
+    }
+
     pub fn set_probing(&mut self, id: ServerId, probing: bool) {
         self.server(id, |server| server.probing = probing);
         self.probing = if probing {
@@ -137,9 +197,40 @@
         };
     }
 
-    pub fn count_request(&mut self) {
+    pub fn count_ask(&mut self, id: RequestId) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.asks += 1;
+        }
+    }
+
+    pub fn on_request(&mut self, request: Request) -> RequestId {
         self.first_request.get_or_insert(self.now);
         self.requests.add(self.now, MEMORY, 1.0);
+        self.adopt(request)
+    }
+
+    pub fn on_open(&mut self, request: Request, server: ServerId) {
+        let id = self.adopt(request);
+        self.join(id, server, Phase::Open(server));
+    }
+
+    /// A connection is up on its server, which is alive then.
+    pub fn begin(&mut self, id: RequestId, on: ServerId) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.phase = Phase::Open(on);
+            self.server(on, |server| server.suspect = false);
+        }
+    }
+
+    /// Whether an attempt of a request that is held was still out when it ended so.
+    pub fn end_attempt(&mut self, ended: &Ended) -> Option<bool> {
+        let conn = self.conns.get_mut(&ended.id)?;
+        let was_out = conn.phase == Phase::Out(ended.server);
+        if was_out && !ended.outcome.never_ran() {
+            conn.may_have_run
+                .get_or_insert((ended.server, conn.sent_at));
+        }
+        Some(was_out)
     }
 
     /// Own requests a second.
@@ -150,8 +241,8 @@
         self.requests.get(self.now, MEMORY) / span
     }
 
-    /// The sums over sound servers with a figure, and the mean figure, if any is known.
-    pub fn figures(&self, set: &Settings) -> (KindSums, Option<f64>) {
+    /// The sums over sound servers with a figure; their mean figure is kept.
+    pub fn sum_figures(&mut self, set: &Settings) -> KindSums {
         let mut sums = KindSums::new();
         let (mut figures, mut heard) = (0.0, 0.0);
         // A server cut off keeps its old figure while all own connections to it are lost.
@@ -169,7 +260,10 @@
                 }
             }
         }
-        (sums, (heard > 0.0).then(|| figures / heard))
+        if heard > 0.0 {
+            self.mean_figure = figures / heard;
+        }
+        sums
     }
 
     /// The worth a second of all own connections and attempts.
@@ -217,7 +311,8 @@
         })
     }
 
-    pub fn adopt(&mut self, request: Request) {
+    fn adopt(&mut self, request: Request) -> RequestId {
+        let id = request.id;
         if let Some(tenant) = request.tenant {
             self.tenants[tenant] += 1;
         }
@@ -227,13 +322,15 @@
             sent_at: self.now,
             tried: Vec::new(),
             may_have_run: None,
+            asks: 0,
             load: request
                 .hint
                 .filter(|hint| hint.is_finite() && *hint >= 0.0)
                 .unwrap_or_else(|| self.class_load(request.class)),
             request,
         };
-        self.conns.insert(conn.request.id, conn);
+        self.conns.insert(id, conn);
+        id
     }
 
     /// The usual load of a class, drawn to that of all while little of it has been told.
@@ -311,10 +408,9 @@
     }
 }
 
-/// A number from 0 to 1 that every balancer computes alike for a group and a server
-/// (rendezvous hashing).
-pub fn spread(group: u64, server: ServerId) -> f64 {
+/// A number that every balancer computes alike for a key and a server (rendezvous hashing).
+fn spread(key: u64, server: ServerId) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (group, server).hash(&mut hasher);
-    hasher.finish() as f64 / u64::MAX as f64
+    (key, server).hash(&mut hasher);
+    hasher.finish()
 }
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -174,6 +174,7 @@
     };
     let settings = Settings {
         fleet_size: facts.int_or("fleet-size", 1)?.max(1) as usize,
+        me: facts.int_or("me", 0)?,
         zone: index(&names.zones, facts.get("zone")),
         zones: names.zones.len(),
         classes,
