Sizes from the list, learned 20 times a second; room for a move sought among candidates

Sizes are learned 20 times a second at most, ejection and room for moves look among the candidates. It is no longer cut off.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -98,6 +98,8 @@
     pub zone: Option<usize>,
     pub kind: Option<usize>,
     pub cell: u64,
+    /// Its size beside others' in the list, where the list tells sizes.
+    pub size: Option<f64>,
     /// When the process last started, unless that is long ago.
     pub born: Option<Secs>,
 }
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -13,15 +13,13 @@
 use crate::fading::Fading;
 use crate::state::{Conn, Phase, Server, State};
 
-/// Load over capacity beyond which a connection is moved off a server.
+/// Load over capacity beyond which a connection is moved off a server, and no server is given more.
 const THRESHOLD: f64 = 0.85;
 /// Where only connection counts are known: the count over the servers' mean that triggers a move.
 const COUNT_TRIGGER: f64 = 1.3;
-/// Load over capacity beyond which no server is given more.
-const ADMIT: f64 = 0.85;
-/// The part of `ADMIT` that all servers are filled to when room begins to be short.
+/// The part of `THRESHOLD` that all servers are filled to when room begins to be short.
 const SCARCE: f64 = 0.7;
-/// The part of `ADMIT` that is kept from what is worth nothing for its load.
+/// The part of `THRESHOLD` that is kept from what is worth nothing for its load.
 const LESS_ROOM: f64 = 0.1;
 /// Load over capacity beyond which connections go even if there is no room for them elsewhere.
 const DROWNING: f64 = 0.93;
@@ -48,6 +46,8 @@
 const USUAL_HELD: f64 = 50.0;
 /// That guess weighs as much as so many own connections on each server.
 const GUESS_WEIGHT: f64 = 5.0;
+/// What is learned of all servers is learned so often.
+const LEARN_EVERY: Secs = 0.05;
 /// The highest load over capacity that is believed.
 const PLAUSIBLE: f64 = 10.0;
 /// A cold server's budget over the one that would let a warm one fill within its warm-up.
@@ -80,8 +80,6 @@
     waiting: BTreeSet<RequestId>,
     wait_timer: bool,
     subscribed: bool,
-    /// What one unit of load adds to the figure of a server of each kind, and of any (`None`).
-    units: BTreeMap<Option<usize>, f64>,
     failures: Fading,
     successes: Fading,
 }
@@ -90,11 +88,10 @@
     pub fn new(set: Settings, seed: u64) -> Self {
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            state: State::new(set.classes.len(), set.tenants.len()),
+            state: State::new(&set, 1.0 / USUAL_HELD),
             waiting: BTreeSet::new(),
             wait_timer: false,
             subscribed: false,
-            units: BTreeMap::from([(None, 1.0 / USUAL_HELD)]),
             failures: Fading::default(),
             successes: Fading::default(),
             set,
@@ -179,9 +176,7 @@
             }
             self.start_probing(id, out);
         }
-        if kind == ListKind::Restored {
-            self.ask(out);
-        }
+        self.ask(out);
     }
 
     fn ask(&mut self, out: &mut Vec<Action>) {
@@ -267,7 +262,9 @@
                 server.heard_at = Some(now);
                 server.pending.retain(|(at, _)| *at > now - REPORT_AGE);
             });
-            self.learn_units();
+            if self.state.learn_after(LEARN_EVERY) {
+                self.learn_units();
+            }
         }
     }
 
@@ -283,11 +280,14 @@
         // After an own restart little own load stands beside all the others' and says little. Then a
         // guess weighs more, or servers would seem too small to take anything, for good.
         let usual = self.state.mean_load();
-        self.units = BTreeMap::from([(None, 1.0 / USUAL_HELD / usual)]);
-        for (kind, (figure, load, servers)) in sums {
-            let weight = servers * (GUESS_WEIGHT * usual).powi(2);
-            let told = figure / self.sharers() + weight / USUAL_HELD / usual;
-            self.units.insert(kind, told / (load + weight));
+        self.state.units = BTreeMap::from([(None, 1.0 / USUAL_HELD / usual)]);
+        for (kind, sum) in sums {
+            let weight = sum.servers * (GUESS_WEIGHT * usual).powi(2);
+            let guess = 1.0 / (USUAL_HELD * usual * sum.relative_size);
+            let told = sum.figure_by_load / self.sharers() + weight * guess;
+            self.state
+                .units
+                .insert(kind, told / (sum.load_squared + weight));
         }
     }
 
@@ -343,8 +343,7 @@
             // Balancers that never used a server would all take it for a usual one, full or not.
             if !server.asked_since(now - REPORT_AGE) {
                 out.push(Action::Probe(to));
-                self.state.server(to, |s| s.asked_at = Some(now));
-                self.state.count_ask(id);
+                self.state.ask(to, id);
             }
             return self.wait(id, out);
         }
@@ -362,8 +361,7 @@
 
     fn wait(&mut self, id: RequestId, out: &mut Vec<Action>) {
         self.waiting.insert(id);
-        if !self.wait_timer {
-            self.wait_timer = true;
+        if !std::mem::replace(&mut self.wait_timer, true) {
             out.push(Action::Timer(WAIT_EVERY, TIMER_WAIT));
         }
     }
@@ -392,7 +390,7 @@
         let usual = self.state.worth_held(&self.set);
         let worth = self.worth(&conn.request) * self.state.mean_load() * self.state.joined() as f64;
         let less = 1.0 - (worth / (conn.load * usual).max(f64::MIN_POSITIVE)).min(1.0);
-        ADMIT * (1.0 - LESS_ROOM * less)
+        THRESHOLD * (1.0 - LESS_ROOM * less)
     }
 
     /// What a request is worth; little beyond its tenant's share.
@@ -436,27 +434,27 @@
     /// The lowest-ranked server that has room and that the request may go to, of the first ones in
     /// the common order of its group, or of this balancer. Ties are broken at random.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
-        let key = self.state.conns[&id].request.group.unwrap_or(self.set.me);
-        self.state.make_order(key, self.set.zone);
+        let key = self.state.order_for(id, &self.set);
         let conn = &self.state.conns[&id];
         let now = self.state.now;
-        let (limit, may_ask) = (self.limit(conn), self.may_ask(conn));
+        let (limit, may_ask, crowd) = (self.limit(conn), self.may_ask(conn), self.crowd());
         // Outlier ejection: silent and failing servers get nothing while there are others.
-        let mut servers = self.state.servers.values();
-        let sound = servers.any(|s| self.open(s) && !self.ejected(s));
+        let server = |id: &ServerId| &self.state.servers[id];
+        let mut candidates = self.state.first_of(key, CANDIDATES);
+        let sound = candidates.any(|(_, id)| self.open(server(&id)) && !self.ejected(server(&id)));
         // Room before rank: a group's full server must not hide an idle one. But as room gets short
         // everywhere, a further share of a group costs room that is wanted more elsewhere.
         let scarcity = self.scarcity();
         let mut ranked: Vec<(f64, ServerId)> = Vec::new();
         for (place, id) in self.state.first_of(key, CANDIDATES) {
-            let server = &self.state.servers[&id];
+            let server = server(&id);
             let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
             if !self.open(server) || barred || sound && self.ejected(server) {
                 continue;
             }
-            let group_load = self.group_load(conn, server) * self.unit_of(server);
+            let group_load = self.group_load(conn, server) * self.state.unit_of(server);
             let shun = GROUP_SHUN * (1.0 + place as f64 / PLACES) * group_load;
-            let after = self.load_after(conn, server);
+            let after = self.load_after(conn, server, crowd);
             // Whether there is room on an unknown server is asked, not guessed.
             let unknown = may_ask && server.figure_since(now - FORGOTTEN).is_none();
             if unknown || after + shun * scarcity <= limit {
@@ -479,11 +477,11 @@
 
     /// A server's load with the request on it, and with what its group then costs there: the probed
     /// figure, and own placements since, with as many by each peer that is taken to place here too.
-    fn load_after(&self, conn: &Conn, server: &Server) -> f64 {
+    fn load_after(&self, conn: &Conn, server: &Server, crowd: f64) -> f64 {
         let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
-        let added = pending * self.crowd() + conn.load + self.group_load(conn, server);
+        let added = pending * crowd + conn.load + self.group_load(conn, server);
         let figure = server.figure_since(self.state.now - FORGOTTEN);
-        figure.unwrap_or(self.state.mean_figure) + added * self.unit_of(server)
+        figure.unwrap_or(self.state.mean_figure) + added * self.state.unit_of(server)
     }
 
     /// Whether a request may still wait for a figure.
@@ -505,12 +503,7 @@
 
     /// How short room is, from 0 to 1.
     fn scarcity(&self) -> f64 {
-        ((self.state.mean_figure / ADMIT - SCARCE) / (1.0 - SCARCE)).clamp(0.0, 1.0)
-    }
-
-    fn unit_of(&self, server: &Server) -> f64 {
-        let of_any = &self.units[&None];
-        *self.units.get(&server.kind()).unwrap_or(of_any)
+        ((self.state.mean_figure / THRESHOLD - SCARCE) / (1.0 - SCARCE)).clamp(0.0, 1.0)
     }
 
     /// What a connection's group costs on a server that holds none of it yet.
@@ -524,8 +517,7 @@
 
     /// What else counts against a server: failures, and the price of another zone.
     fn surcharge(&self, server: &Server) -> f64 {
-        let zone = server.entry.as_ref().and_then(|entry| entry.zone);
-        let crosses = zone.is_some() && zone != self.set.zone;
+        let crosses = server.zone().is_some() && server.zone() != self.set.zone;
         let cross = CROSS_LOAD * self.set.price_cross_zone;
         f64::from(crosses) * cross + server.errors.get(self.state.now, FORGIVE)
     }
@@ -539,7 +531,7 @@
         let share = 1.0 - (1.0 - self.set.cold_from) * rest;
         // No more than this balancer's part of a careful fall budget, as if a warm server
         // is filled with usual connections over the time that it takes to get warm.
-        let full = 1.0 / (self.unit_of(server) * self.state.mean_load()).max(1e-3);
+        let full = 1.0 / (self.state.unit_of(server) * self.state.mean_load()).max(1e-3);
         let budget = COLD_CARE * self.set.fall_multiple * share * full / self.set.cold_for;
         (self.set.fleet_size as f64 / budget).max(self.set.fall_for / 4.0)
     }
@@ -565,24 +557,28 @@
         let worth =
             |id: &RequestId| self.worth(&conn(id).request) / self.leaving_load(conn(id), server);
         own.sort_by(|a, b| worth(a).total_cmp(&worth(b)));
+        let Some(&first) = own.first() else { return };
+        let own_part = server.load / load_now;
         // Moving onto a server that would pass the threshold itself only spreads the trouble.
-        let room = own.first().is_some_and(|first| {
-            let fits = |s: &Server| self.load_after(conn(first), s) < limit;
-            let mut servers = self.state.servers.values();
-            servers.any(|s| self.open(s) && !s.suspect && fits(s))
-        });
+        let key = self.state.order_for(first, &self.set);
+        let (conn, crowd) = (&self.state.conns[&first], self.crowd());
+        let fits = |s: &Server| self.load_after(conn, s, crowd) < limit;
+        let servers = self.state.first_of(key, CANDIDATES);
+        let mut servers = servers.map(|(_, id)| &self.state.servers[&id]);
+        let room = servers.any(|s| self.open(s) && !s.suspect && fits(s));
         let (most, limit) = match room {
             true => (1, limit),
             false if by_load && load_now > DROWNING => (own.len(), DROWNING),
             false => return,
         };
         // Peers see the same figure: all together should move what is over, not each of them.
-        let mut part = HASTE * server.load * (load_now - limit) / load_now;
+        let mut part = HASTE * own_part * (load_now - limit);
         for id in own.into_iter().take(most) {
-            if self.rng.random::<f64>() * conn(&id).load < part {
+            let load = self.state.conns[&id].load;
+            if self.rng.random::<f64>() * load < part {
                 out.push(Action::Move(id));
             }
-            part -= conn(&id).load;
+            part -= load;
         }
     }
 
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -10,9 +10,15 @@
 /// Time constant of the usual load of a class, and of the own rate of requests.
 const MEMORY: Secs = 15.0;
 
-/// For each kind of server, and for all (`None`): figures times own load, own load squared, and the
-/// number of servers.
-pub type KindSums = BTreeMap<Option<usize>, (f64, f64, f64)>;
+/// What the servers of a kind, or all, tell of their size.
+#[derive(Debug, Default)]
+pub struct KindSum {
+    pub servers: f64,
+    pub figure_by_load: f64,
+    pub load_squared: f64,
+    /// The listed size over the mean of all, or 1 where none is listed.
+    pub relative_size: f64,
+}
 
 /// So long a placement is kept that no report has ended.
 const FORGOTTEN: Secs = 20.0;
@@ -76,6 +82,10 @@
         rest.clamp(0.0, 1.0)
     }
 
+    pub fn zone(&self) -> Option<usize> {
+        self.entry.as_ref().and_then(|entry| entry.zone)
+    }
+
     pub fn kind(&self) -> Option<usize> {
         self.entry.as_ref().and_then(|entry| entry.kind)
     }
@@ -110,6 +120,10 @@
     pub conns: BTreeMap<RequestId, Conn>,
     /// The load of own connections and attempts.
     load: f64,
+    /// What one unit of load adds to the figure of a server of each kind, and of any (`None`).
+    pub units: BTreeMap<Option<usize>, f64>,
+    /// When sizes were last learned.
+    learned_at: Option<Secs>,
     /// The mean of the servers' figures.
     pub mean_figure: f64,
     /// The number of servers that are probed.
@@ -128,20 +142,22 @@
 }
 
 impl State {
-    pub fn new(classes: usize, tenants: usize) -> Self {
+    pub fn new(set: &Settings, unit: f64) -> Self {
         Self {
             now: 0.0,
             servers: BTreeMap::new(),
             conns: BTreeMap::new(),
             load: 0.0,
+            units: BTreeMap::from([(None, unit)]),
+            learned_at: None,
             mean_figure: 0.0,
             probing: 0,
             requests: Fading::default(),
             first_request: None,
-            classes: vec![0; classes],
-            tenants: vec![0; tenants],
+            classes: vec![0; set.classes.len()],
+            tenants: vec![0; set.tenants.len()],
             orders: BTreeMap::new(),
-            loads: vec![Default::default(); classes],
+            loads: vec![Default::default(); set.classes.len()],
         }
     }
 
@@ -161,15 +177,25 @@
         }
     }
 
-    /// Makes the common order of a key, unless it is known.
-    pub fn make_order(&mut self, key: u64, zone: Option<usize>) {
-        if self.orders.contains_key(&key) {
-            return;
+    pub fn unit_of(&self, server: &Server) -> f64 {
+        let of_any = &self.units[&None];
+        *self.units.get(&server.kind()).unwrap_or(of_any)
+    }
+
+    /// The key of the common order for a request: its group, or this balancer. It is made if need be.
+    pub fn order_for(&mut self, id: RequestId, set: &Settings) -> u64 {
+        let key = self.conns[&id].request.group.unwrap_or(set.me);
+        if !self.orders.contains_key(&key) {
+            self.make_order(key, set.zone);
         }
+        key
+    }
+
+    fn make_order(&mut self, key: u64, zone: Option<usize>) {
         let mut order = [Vec::new(), Vec::new()];
         for (&id, server) in self.servers.iter().filter(|(_, s)| s.up()) {
-            let of = server.entry.as_ref().and_then(|entry| entry.zone);
-            order[usize::from(of.is_some() && of != zone)].push(id);
+            let other = server.zone().is_some() && server.zone() != zone;
+            order[usize::from(other)].push(id);
         }
         for part in &mut order {
             part.sort_by_cached_key(|id| spread(key, *id));
@@ -197,7 +223,10 @@
         };
     }
 
-    pub fn count_ask(&mut self, id: RequestId) {
+    /// A server is asked for its figure for a request.
+    pub fn ask(&mut self, server: ServerId, id: RequestId) {
+        let now = self.now;
+        self.server(server, |server| server.asked_at = Some(now));
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.asks += 1;
         }
@@ -241,9 +270,18 @@
         self.requests.get(self.now, MEMORY) / span
     }
 
-    /// The sums over sound servers with a figure; their mean figure is kept.
-    pub fn sum_figures(&mut self, set: &Settings) -> KindSums {
-        let mut sums = KindSums::new();
+    /// Whether sizes were last learned so long ago; then they are now.
+    pub fn learn_after(&mut self, span: Secs) -> bool {
+        let due = self.learned_at.is_none_or(|at| at + span <= self.now);
+        if due {
+            self.learned_at = Some(self.now);
+        }
+        due
+    }
+
+    /// Sums over sound servers with a figure, by kind and over all (`None`); their mean figure is kept.
+    pub fn sum_figures(&mut self, set: &Settings) -> BTreeMap<Option<usize>, KindSum> {
+        let mut sums: BTreeMap<Option<usize>, KindSum> = BTreeMap::new();
         let (mut figures, mut heard) = (0.0, 0.0);
         // A server cut off keeps its old figure while all own connections to it are lost.
         let sound = |s: &&Server| s.up() && !s.suspect;
@@ -256,13 +294,23 @@
             if server.cold_rest(self.now, set) == 0.0 {
                 for kind in [server.kind(), None] {
                     let sum = sums.entry(kind).or_default();
-                    *sum = (sum.0 + figure * load, sum.1 + load * load, sum.2 + 1.0);
+                    sum.servers += 1.0;
+                    sum.figure_by_load += figure * load;
+                    sum.load_squared += load * load;
+                    let size = server.entry.as_ref().and_then(|entry| entry.size);
+                    sum.relative_size += size.unwrap_or(1.0);
                 }
             }
         }
         if heard > 0.0 {
             self.mean_figure = figures / heard;
         }
+        let mean_size = sums
+            .get(&None)
+            .map_or(1.0, |all| all.relative_size / all.servers);
+        for sum in sums.values_mut() {
+            sum.relative_size /= sum.servers * mean_size;
+        }
         sums
     }
 
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -53,6 +53,7 @@
         zone: Some(0),
         kind: Some(0),
         cell: 0,
+        size: None,
         born: None,
     }
 }
--- a/crates/balancer/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -107,6 +107,7 @@
         };
         let figure = if full.is_empty() { 0.9 } else { 0.4 };
         full.push(*server);
+        bench.now += 0.06;
         actions = bench.on_alone(Event::Probed(*server, Outcome::Ok, load(figure)));
     }
     let to = sent_to(&actions, 1).expect("sent");
@@ -179,3 +180,79 @@
         assert!(sent <= 1.3 * most, "{sent} of {most} in window {window}");
     }
 }
+
+/// Where a kind's size was guessed alike, small servers got the turns of large ones while cold.
+#[test]
+fn a_listed_size_scales_what_a_cold_server_is_sent() {
+    let listed = |server, kind, size| Entry {
+        kind: Some(kind),
+        size: Some(size),
+        ..entry(server)
+    };
+    let cold = |server, kind, size| Entry {
+        born: Some(100.0),
+        ..listed(server, kind, size)
+    };
+    let mut sent = [0, 0];
+    for me in 0..300 {
+        let warm = vec![listed(1, 0, 1.0), listed(2, 1, 4.0)];
+        let mut bench = Bench::new(Settings { me, ..large() }, warm, me);
+        // Both warm ones are full; a connection on each shows their kinds.
+        bench.open(1, 1000, &[0.1]);
+        bench.open(2, 2000, &[0.1]);
+        bench.report(1, 0.9);
+        bench.now += 0.5;
+        bench.report(2, 0.9);
+        let grown = vec![cold(3, 0, 1.0), cold(4, 1, 4.0)];
+        bench.on(Event::Servers(ListKind::Update, grown));
+        for id in 0..20 {
+            bench.now += 0.4;
+            bench.report(1, 0.9);
+            bench.report(2, 0.9);
+            if let Some(server @ (3 | 4)) = bench.place(id) {
+                sent[server as usize - 3] += 1;
+            }
+        }
+    }
+    assert!(sent[0] > 0 && sent[0] * 2 < sent[1], "{sent:?}");
+}
+
+/// Learning of all servers at each report took more CPU than a large fleet has.
+#[test]
+fn a_list_of_none_of_one_and_of_several_hundred_is_fine() {
+    let mut bench = Bench::new(large(), Vec::new(), 3);
+    assert_eq!(bench.place(1), None);
+    bench.on(Event::Servers(ListKind::Replace, vec![entry(1)]));
+    assert_eq!(bench.place(2), Some(1));
+    let doubled = |n: u32| (1..=n).map(entry).collect::<Vec<_>>();
+    bench.on(Event::Servers(ListKind::Replace, doubled(400)));
+    assert!(bench.place(3).is_some());
+    bench.on(Event::Servers(ListKind::Update, doubled(800)));
+    assert!(bench.place(4).is_some());
+    // Of a restored list nothing is left.
+    bench.on(Event::Servers(ListKind::Replace, vec![entry(900)]));
+    assert_eq!(bench.place(5), Some(900));
+}
+
+/// All servers of a group's order that were in use go at once; the next in it take over.
+#[test]
+fn servers_in_use_that_go_at_once_are_replaced_along_the_order() {
+    let mut bench = Bench::new(large(), fleet(), 3);
+    let grouped = |id| Request {
+        group: Some(7),
+        ..request(id)
+    };
+    let mut gone = Vec::new();
+    for id in 1..5 {
+        bench.now += 1.0;
+        let to = sent_to(&bench.on(Event::Request(grouped(id))), id).expect("sent");
+        assert!(!gone.contains(&to), "{to} is gone");
+        gone.push(to);
+        let lost = Entry {
+            status: Status::Gone,
+            ..entry(to)
+        };
+        bench.on(Event::Servers(ListKind::Update, vec![lost]));
+        bench.finish(id, to, Outcome::Reset, true);
+    }
+}
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -116,6 +116,8 @@
     kinds: Vec<String>,
     classes: Vec<String>,
     tenants: Vec<String>,
+    /// Whether the list's rating is a server's size.
+    rated: bool,
 }
 
 fn index(names: &[String], name: Option<&str>) -> Option<usize> {
@@ -127,6 +129,7 @@
     let mut names = Names {
         zones: facts.list("azs"),
         kinds: facts.list("skus"),
+        rated: matches!(facts.get("weights"), Some("nominal" | "rough")),
         ..Names::default()
     };
     let mut classes = Vec::new();
@@ -212,6 +215,7 @@
     kind: Option<String>,
     zone: Option<String>,
     born: Option<Secs>,
+    rating: Option<f64>,
 }
 
 pub fn row(fields: &Fields) -> Result<Row, String> {
@@ -227,6 +231,7 @@
         kind: fields.get("sku").map(str::to_string),
         zone: fields.get("campus").map(str::to_string),
         born: fields.number("born-s")?.filter(|born| *born != 0.0),
+        rating: fields.number("rating")?,
     })
 }
 
@@ -295,6 +300,9 @@
         zone: index(&names.zones, row.zone.as_deref()),
         kind: index(&names.kinds, row.kind.as_deref()),
         cell: row.cell,
+        size: row
+            .rating
+            .filter(|size| names.rated && *size > 0.0 && size.is_finite()),
         born: row.born,
     };
     Ok(Event::Servers(kind, rows.iter().map(entry).collect()))
