--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -46,12 +46,12 @@
 const USUAL_HELD: f64 = 50.0;
 /// That guess weighs as much as so many own connections on each server.
 const GUESS_WEIGHT: f64 = 5.0;
-/// What is learned of all servers is learned so often.
-const LEARN_EVERY: Secs = 0.05;
 /// The highest load over capacity that is believed.
 const PLAUSIBLE: f64 = 10.0;
 /// A cold server's budget over the one that would let a warm one fill within its warm-up.
 const COLD_CARE: f64 = 2.0;
+/// By this a cold server is taken to be smaller than guessed, as far as its size is only guessed.
+const GUESS_CARE: f64 = 3.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
 /// Attempts per success beyond which the service as a whole is taken to be failing.
@@ -62,8 +62,8 @@
 const ASKS: usize = 4;
 /// A figure so old means nothing.
 const FORGOTTEN: Secs = 7.0;
-/// How often requests that found no server are tried again.
-const WAIT_EVERY: Secs = 0.05;
+/// How often requests that wait are tried again, and at most sizes are learned.
+const OFTEN: Secs = 0.05;
 /// Recent failures beyond which a server is ejected until they are forgiven.
 const EJECT: f64 = 3.0;
 
@@ -88,7 +88,7 @@
     pub fn new(set: Settings, seed: u64) -> Self {
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            state: State::new(&set, 1.0 / USUAL_HELD),
+            state: State::new(&set, [1.0 / USUAL_HELD, GUESS_CARE / USUAL_HELD]),
             waiting: BTreeSet::new(),
             wait_timer: false,
             subscribed: false,
@@ -260,9 +260,10 @@
             self.state.server(id, |server| {
                 server.figure = Some(figure.min(most));
                 server.heard_at = Some(now);
+                server.connections = report.connections.filter(|_| report.load.is_some());
                 server.pending.retain(|(at, _)| *at > now - REPORT_AGE);
             });
-            if self.state.learn_after(LEARN_EVERY) {
+            if self.state.learn_after(OFTEN) {
                 self.learn_units();
             }
         }
@@ -276,19 +277,24 @@
     /// Learns what a unit of load adds to a figure, from servers of a kind together and most from
     /// those that hold most of this balancer's load, as its peers' load is unknown.
     fn learn_units(&mut self) {
-        let sums = self.state.sum_figures(&self.set);
+        let (sums, peers) = (self.state.sum_figures(&self.set), self.sharers());
         // After an own restart little own load stands beside all the others' and says little. Then a
         // guess weighs more, or servers would seem too small to take anything, for good.
         let usual = self.state.mean_load();
-        self.state.units = BTreeMap::from([(None, 1.0 / USUAL_HELD / usual)]);
+        let unit = 1.0 / USUAL_HELD / usual;
+        let mut units = BTreeMap::from([(None, [unit, unit * GUESS_CARE])]);
         for (kind, sum) in sums {
             let weight = sum.servers * (GUESS_WEIGHT * usual).powi(2);
-            let guess = 1.0 / (USUAL_HELD * usual * sum.relative_size);
-            let told = sum.figure_by_load / self.sharers() + weight * guess;
-            self.state
-                .units
-                .insert(kind, told / (sum.load_squared + weight));
+            let guess = weight * unit / sum.relative_size;
+            let told = |guess| (sum.figure_by_load / peers + guess) / (sum.load_squared + weight);
+            // Where servers tell their connections too, nothing is left to guess.
+            let counted = sum.figure / (sum.connections * usual);
+            let exact = [counted.clamp(unit / PLAUSIBLE, unit * PLAUSIBLE); 2];
+            let guessed = [told(guess), told(guess * GUESS_CARE)];
+            let known = sum.connections > 0.0;
+            units.insert(kind, if known { exact } else { guessed });
         }
+        self.state.units = units;
     }
 
     // Requests.
@@ -362,7 +368,7 @@
     fn wait(&mut self, id: RequestId, out: &mut Vec<Action>) {
         self.waiting.insert(id);
         if !std::mem::replace(&mut self.wait_timer, true) {
-            out.push(Action::Timer(WAIT_EVERY, TIMER_WAIT));
+            out.push(Action::Timer(OFTEN, TIMER_WAIT));
         }
     }
 
@@ -509,10 +515,8 @@
     /// What a connection's group costs on a server that holds none of it yet.
     fn group_load(&self, conn: &Conn, server: &Server) -> f64 {
         let held = |group| !self.set.groups || server.groups.contains_key(&group);
-        if conn.request.group.is_none_or(held) {
-            return 0.0;
-        }
-        GROUP_COST * self.state.mean_load()
+        let brings = !conn.request.group.is_none_or(held);
+        f64::from(brings) * GROUP_COST * self.state.mean_load()
     }
 
     /// What else counts against a server: failures, and the price of another zone.
@@ -529,9 +533,8 @@
             return 0.0;
         }
         let share = 1.0 - (1.0 - self.set.cold_from) * rest;
-        // No more than this balancer's part of a careful fall budget, as if a warm server
-        // is filled with usual connections over the time that it takes to get warm.
-        let full = 1.0 / (self.state.unit_of(server) * self.state.mean_load()).max(1e-3);
+        // This balancer's part of the fall budget, as if a warm server fills over the warm-up.
+        let full = 1.0 / (self.state.careful_unit_of(server) * self.state.mean_load()).max(1e-3);
         let budget = COLD_CARE * self.set.fall_multiple * share * full / self.set.cold_for;
         (self.set.fleet_size as f64 / budget).max(self.set.fall_for / 4.0)
     }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -15,6 +15,9 @@
 pub struct KindSum {
     pub servers: f64,
     pub figure_by_load: f64,
+    /// Figures, and connections where they are told beside the load.
+    pub figure: f64,
+    pub connections: f64,
     pub load_squared: f64,
     /// The listed size over the mean of all, or 1 where none is listed.
     pub relative_size: f64,
@@ -29,6 +32,8 @@
     pub entry: Option<Entry>,
     /// The probed figure in the design's metric order, once heard.
     pub figure: Option<f64>,
+    /// The connections it told beside its load.
+    pub connections: Option<f64>,
     /// Own placements that the figure may not hold yet, with the load each adds. Departures don't
     /// count: a server that has just dropped all its connections is not idle.
     pub pending: Vec<(Secs, f64)>,
@@ -120,8 +125,9 @@
     pub conns: BTreeMap<RequestId, Conn>,
     /// The load of own connections and attempts.
     load: f64,
-    /// What one unit of load adds to the figure of a server of each kind, and of any (`None`).
-    pub units: BTreeMap<Option<usize>, f64>,
+    /// What one unit of load adds to the figure of a server of each kind, and of any (`None`): as
+    /// is likely, and as is careful to assume.
+    pub units: BTreeMap<Option<usize>, [f64; 2]>,
     /// When sizes were last learned.
     learned_at: Option<Secs>,
     /// The mean of the servers' figures.
@@ -142,7 +148,7 @@
 }
 
 impl State {
-    pub fn new(set: &Settings, unit: f64) -> Self {
+    pub fn new(set: &Settings, unit: [f64; 2]) -> Self {
         Self {
             now: 0.0,
             servers: BTreeMap::new(),
@@ -178,6 +184,14 @@
     }
 
     pub fn unit_of(&self, server: &Server) -> f64 {
+        self.units_of(server)[0]
+    }
+
+    pub fn careful_unit_of(&self, server: &Server) -> f64 {
+        self.units_of(server)[1]
+    }
+
+    fn units_of(&self, server: &Server) -> [f64; 2] {
         let of_any = &self.units[&None];
         *self.units.get(&server.kind()).unwrap_or(of_any)
     }
@@ -296,6 +310,8 @@
                     let sum = sums.entry(kind).or_default();
                     sum.servers += 1.0;
                     sum.figure_by_load += figure * load;
+                    sum.figure += figure;
+                    sum.connections += server.connections.unwrap_or(0.0).max(0.0);
                     sum.load_squared += load * load;
                     let size = server.entry.as_ref().and_then(|entry| entry.size);
                     sum.relative_size += size.unwrap_or(1.0);
--- a/crates/balancer/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -256,3 +256,27 @@
         bench.finish(id, to, Outcome::Reset, true);
     }
 }
+
+/// Sizes were guessed, 50 usual connections, where servers tell their connections beside their load.
+#[test]
+fn connections_told_beside_the_load_give_the_size() {
+    let both = |load, connections| Report {
+        load: Some(load),
+        connections: Some(connections),
+        ..Report::default()
+    };
+    let refuses = |connections| {
+        let mut bench = Bench::new(large(), vec![entry(1)], 3);
+        bench.open(1, 1000, &[0.1; 4]);
+        bench.probed(1, both(0.8, connections));
+        bench.place(1).is_none()
+    };
+    assert!(refuses(8.0), "one more adds a tenth of a server");
+    assert!(!refuses(80.0), "one more adds a hundredth");
+    for nonsense in [0.0, -5.0, f64::NAN, f64::INFINITY] {
+        assert!(
+            !refuses(nonsense),
+            "{nonsense} says nothing, the guess holds"
+        );
+    }
+}
