--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -33,7 +33,7 @@
 /// A report may show the state of so long ago; own placements since then are added to it.
 const REPORT_AGE: Secs = 2.0;
 /// Load that a price of one for a zone crossing is worth.
-const CROSS_LOAD: f64 = 3.0;
+const CROSS_LOAD: f64 = 6.0;
 /// Connections' worth of load that a group is taken to cost on each server that holds any of it.
 const GROUP_COST: f64 = 2.0;
 /// By this many times its cost a server without the group ranks behind: the cost stays for long.
@@ -49,7 +49,7 @@
 /// The highest load over capacity that is believed.
 const PLAUSIBLE: f64 = 10.0;
 /// A cold server's budget over the one that would let a warm one fill within its warm-up.
-const COLD_CARE: f64 = 2.0;
+const COLD_CARE: f64 = 3.0;
 /// By this a cold server is taken to be smaller than guessed, as far as its size is only guessed.
 const GUESS_CARE: f64 = 3.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
