The cold budget is used once: all turns may be taken at once

Seen in a tap: it sheds all, every balancer's figure falls together, and all take their turn within a second; the budget was used three times there, and two times before, on the ground that few turns are used. With sizes known and every turn taken that is over the limit.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -48,8 +48,6 @@
 const GUESS_WEIGHT: f64 = 5.0;
 /// The highest load over capacity that is believed.
 const PLAUSIBLE: f64 = 10.0;
-/// A cold server's budget over the one that would let a warm one fill within its warm-up.
-const COLD_CARE: f64 = 3.0;
 /// By this a cold server is taken to be smaller than guessed, as far as its size is only guessed.
 const GUESS_CARE: f64 = 3.0;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
@@ -535,7 +533,7 @@
         let share = 1.0 - (1.0 - self.set.cold_from) * rest;
         // This balancer's part of the fall budget, as if a warm server fills over the warm-up.
         let full = 1.0 / (self.state.careful_unit_of(server) * self.state.mean_load()).max(1e-3);
-        let budget = COLD_CARE * self.set.fall_multiple * share * full / self.set.cold_for;
+        let budget = self.set.fall_multiple * share * full / self.set.cold_for;
         (self.set.fleet_size as f64 / budget).max(self.set.fall_for / 4.0)
     }
 
