--- a/crates/balancer/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -194,7 +194,8 @@
         ..listed(server, kind, size)
     };
     let mut sent = [0, 0];
-    for me in 0..300 {
+    // More than the fleet has, to be less at the mercy of chance.
+    for me in 0..3000 {
         let warm = vec![listed(1, 0, 1.0), listed(2, 1, 4.0)];
         let mut bench = Bench::new(Settings { me, ..large() }, warm, me);
         // Both warm ones are full; a connection on each shows their kinds.
