--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -401,7 +401,9 @@
     fn worth(&self, request: &Request) -> f64 {
         let over = request.tenant.is_some_and(|tenant| {
             let quota = self.set.tenants[tenant].quota.unwrap_or(f64::INFINITY);
-            self.state.tenants[tenant] as f64 > quota / self.set.fleet_size as f64
+            let share = quota / self.set.fleet_size as f64;
+            // In a large fleet a share is a few connections, and chance alone brings as many more.
+            self.state.tenants[tenant] as f64 > share + share.sqrt()
         });
         let part = if over { self.set.over_share_worth } else { 1.0 };
         part * self.set.classes[request.class].worth
--- a/crates/balancer/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -281,3 +281,26 @@
         );
     }
 }
+
+/// Over 300 balancers a tenant's share is a connection or two, and everybody was beyond it.
+#[test]
+fn a_share_of_few_connections_allows_for_chance() {
+    let refuses = |held| {
+        let tenants = vec![Tenant { quota: Some(300.0) }, Tenant { quota: None }];
+        let set = Settings { tenants, ..large() };
+        let mut bench = Bench::new(set, vec![entry(1)], 3);
+        let of = |id, tenant| Request {
+            tenant: Some(tenant),
+            hint: Some(0.1),
+            ..request(id)
+        };
+        for id in 0..held {
+            bench.on(Event::Open(of(1000 + id, 0), 1));
+            bench.on(Event::Open(of(2000 + id, 1), 1));
+        }
+        bench.report(1, 0.78);
+        sent_to(&bench.on(Event::Request(of(1, 0))), 1).is_none()
+    };
+    assert!(!refuses(1), "two for a share of one may be chance");
+    assert!(refuses(5), "six are beyond a share of one");
+}
