--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -57,7 +57,7 @@
 /// The part of its aim that a request may wait for a fresh figure of its server.
 const ASK_PART: f64 = 0.3;
 /// How many servers are asked for a figure for one request at most.
-const ASKS: usize = 4;
+const ASKS: usize = 6;
 /// A figure so old means nothing.
 const FORGOTTEN: Secs = 7.0;
 /// How often requests that wait are tried again, and at most sizes are learned.
