Unknown servers are not asked for room while room is short by half

The asks are server work and hold requests that are refused anyway.

Now the mean is guessed there again. Six asks are back at four.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -57,7 +57,7 @@
 /// The part of its aim that a request may wait for a fresh figure of its server.
 const ASK_PART: f64 = 0.3;
 /// How many servers are asked for a figure for one request at most.
-const ASKS: usize = 6;
+const ASKS: usize = 4;
 /// A figure so old means nothing.
 const FORGOTTEN: Secs = 7.0;
 /// How often requests that wait are tried again, and at most sizes are learned.
@@ -442,15 +442,14 @@
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
         let key = self.state.order_for(id, &self.set);
         let conn = &self.state.conns[&id];
-        let now = self.state.now;
+        let (now, scarcity) = (self.state.now, self.scarcity());
         let (limit, may_ask, crowd) = (self.limit(conn), self.may_ask(conn), self.crowd());
         // Outlier ejection: silent and failing servers get nothing while there are others.
         let server = |id: &ServerId| &self.state.servers[id];
         let mut candidates = self.state.first_of(key, CANDIDATES);
         let sound = candidates.any(|(_, id)| self.open(server(&id)) && !self.ejected(server(&id)));
-        // Room before rank: a group's full server must not hide an idle one. But as room gets short
-        // everywhere, a further share of a group costs room that is wanted more elsewhere.
-        let scarcity = self.scarcity();
+        // Room before rank: a group's full server must not hide an idle one. As room gets short
+        // everywhere, a further share of a group costs room that is wanted more.
         let mut ranked: Vec<(f64, ServerId)> = Vec::new();
         for (place, id) in self.state.first_of(key, CANDIDATES) {
             let server = server(&id);
@@ -461,9 +460,10 @@
             let group_load = self.group_load(conn, server) * self.state.unit_of(server);
             let shun = GROUP_SHUN * (1.0 + place as f64 / PLACES) * group_load;
             let after = self.load_after(conn, server, crowd);
-            // Whether there is room on an unknown server is asked, not guessed.
-            let unknown = may_ask && server.figure_since(now - FORGOTTEN).is_none();
-            if unknown || after + shun * scarcity <= limit {
+            // Room on an unknown server is asked, not guessed, unless all are likely to be swamped.
+            let guessed = server.figure_since(now - FORGOTTEN).is_none();
+            let asked = guessed && may_ask && scarcity < 0.5;
+            if asked || after + shun * scarcity <= limit {
                 ranked.push((after + shun + self.surcharge(server), id));
             }
         }
--- a/crates/balancer/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -304,3 +304,19 @@
     assert!(!refuses(1), "two for a share of one may be chance");
     assert!(refuses(5), "six are beyond a share of one");
 }
+
+/// In a fleet past its capacity every request asked every server that it did not know for its load:
+/// that was a good part of what swamped them.
+#[test]
+fn a_swamped_fleet_is_not_asked_for_room() {
+    let mut bench = Bench::new(large(), fleet(), 3);
+    for server in 1..=10 {
+        bench.open(server, u64::from(server) * 100, &[0.1]);
+        bench.now += 0.06;
+        bench.report(server, 1.2);
+    }
+    let asked: usize = (1..20)
+        .map(|id| probes(&bench.on_alone(Event::Request(request(id)))))
+        .sum();
+    assert_eq!(asked, 0);
+}
