--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -462,7 +462,7 @@
             let after = self.load_after(conn, server, crowd);
             // Room on an unknown server is asked, not guessed, unless all are likely to be swamped.
             let guessed = server.figure_since(now - FORGOTTEN).is_none();
-            let asked = guessed && may_ask && scarcity < 0.5;
+            let asked = guessed && may_ask && (scarcity < 0.5 || self.state.heard < ASKS);
             if asked || after + shun * scarcity <= limit {
                 ranked.push((after + shun + self.surcharge(server), id));
             }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -130,7 +130,8 @@
     pub units: BTreeMap<Option<usize>, [f64; 2]>,
     /// When sizes were last learned.
     learned_at: Option<Secs>,
-    /// The mean of the servers' figures.
+    /// How many servers' figures are known, and their mean.
+    pub heard: usize,
     pub mean_figure: f64,
     /// The number of servers that are probed.
     pub probing: usize,
@@ -156,6 +157,7 @@
             load: 0.0,
             units: BTreeMap::from([(None, unit)]),
             learned_at: None,
+            heard: 0,
             mean_figure: 0.0,
             probing: 0,
             requests: Fading::default(),
@@ -318,6 +320,7 @@
                 }
             }
         }
+        self.heard = heard as usize;
         if heard > 0.0 {
             self.mean_figure = figures / heard;
         }
