--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -521,9 +521,9 @@
 
     /// What else counts against a server: failures, and the price of another zone.
     fn surcharge(&self, server: &Server) -> f64 {
-        let crosses = server.zone().is_some() && server.zone() != self.set.zone;
-        let cross = CROSS_LOAD * self.set.price_cross_zone;
-        f64::from(crosses) * cross + server.errors.get(self.state.now, FORGIVE)
+        let crosses = f64::from(server.elsewhere(self.set.zone));
+        crosses * CROSS_LOAD * self.set.price_cross_zone
+            + server.errors.get(self.state.now, FORGIVE)
     }
 
     /// The least time between two connections to a cold server, from what warm ones take.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -87,8 +87,10 @@
         rest.clamp(0.0, 1.0)
     }
 
-    pub fn zone(&self) -> Option<usize> {
-        self.entry.as_ref().and_then(|entry| entry.zone)
+    /// Whether it is known to be in another zone than this.
+    pub fn elsewhere(&self, zone: Option<usize>) -> bool {
+        let own = self.entry.as_ref().and_then(|entry| entry.zone);
+        own.is_some() && own != zone
     }
 
     pub fn kind(&self) -> Option<usize> {
@@ -210,8 +212,7 @@
     fn make_order(&mut self, key: u64, zone: Option<usize>) {
         let mut order = [Vec::new(), Vec::new()];
         for (&id, server) in self.servers.iter().filter(|(_, s)| s.up()) {
-            let other = server.zone().is_some() && server.zone() != zone;
-            order[usize::from(other)].push(id);
+            order[usize::from(server.elsewhere(zone))].push(id);
         }
         for part in &mut order {
             part.sort_by_cached_key(|id| spread(key, *id));
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -69,6 +69,14 @@
     }
 }
 
+pub fn grouped(id: RequestId, group: u64) -> Request {
+    Request {
+        group: Some(group),
+        hint: Some(0.02),
+        ..request(id)
+    }
+}
+
 pub fn load(load: f64) -> Report {
     Report {
         load: Some(load),
--- a/crates/balancer/tests/failures.rs
+++ b/crates/balancer/tests/failures.rs
@@ -148,14 +148,6 @@
     assert_eq!(bench.place(9), Some(1));
 }
 
-fn grouped(id: RequestId, group: u64) -> Request {
-    Request {
-        group: Some(group),
-        hint: Some(0.02),
-        ..request(id)
-    }
-}
-
 fn with_groups() -> Bench {
     let set = Settings {
         groups: true,
--- a/crates/balancer/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -95,11 +95,7 @@
 #[test]
 fn an_unknown_server_is_asked_for_its_load_before_it_is_sent_anything() {
     let mut bench = Bench::new(large(), fleet(), 3);
-    let grouped = |id| Request {
-        group: Some(7),
-        ..request(id)
-    };
-    let mut actions = bench.on_alone(Event::Request(grouped(1)));
+    let mut actions = bench.on_alone(Event::Request(grouped(1, 7)));
     let mut full = Vec::new();
     while sent_to(&actions, 1).is_none() {
         let Some(Action::Probe(server)) = actions.first() else {
@@ -114,7 +110,7 @@
     assert_eq!(full.iter().position(|server| *server == to), Some(1));
     // Another balancer asks the same servers in the same order.
     let mut peer = Bench::new(Settings { me: 9, ..large() }, fleet(), 77);
-    let actions = peer.on_alone(Event::Request(grouped(2)));
+    let actions = peer.on_alone(Event::Request(grouped(2, 7)));
     assert_eq!(actions.first(), Some(&Action::Probe(full[0])));
 }
 
@@ -239,14 +235,10 @@
 #[test]
 fn servers_in_use_that_go_at_once_are_replaced_along_the_order() {
     let mut bench = Bench::new(large(), fleet(), 3);
-    let grouped = |id| Request {
-        group: Some(7),
-        ..request(id)
-    };
     let mut gone = Vec::new();
     for id in 1..5 {
         bench.now += 1.0;
-        let to = sent_to(&bench.on(Event::Request(grouped(id))), id).expect("sent");
+        let to = sent_to(&bench.on(Event::Request(grouped(id, 7))), id).expect("sent");
         assert!(!gone.contains(&to), "{to} is gone");
         gone.push(to);
         let lost = Entry {
