A BYE's report is heard whole, TCP probes notice vanished clients, discovery connects in 1 s

- line.rs Scanner kept 32 bytes of a line, a BYE with three figures is longer; now 160, and the report reaches the module with the end of the connection (relay.rs, book.rs).
- take_in.rs: keep-alive on clients' sockets; one whose machine vanished held two descriptors for good.
- discovery.rs: the connect has a time-out of its own, within the call's.
- With discovery down at the start the last run's list serves after 3 s instead of 5.

--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -45,14 +45,14 @@
     }
 
     /// The connection ended from the server's side, or was moved.
-    pub async fn ended(mut self, server: ServerId, outcome: Outcome) {
+    pub async fn ended(mut self, server: ServerId, (outcome, report): (Outcome, Report)) {
         self.closed = true;
         let ended = Ended {
             id: self.id,
             server,
             outcome,
             last: true,
-            report: Report::default(),
+            report,
         };
         self.tell(Notice::Ended(ended)).await;
     }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -108,8 +108,12 @@
     async fn call(&mut self, path: &str) -> Result<List, String> {
         let text = |error: hyper::Error| error.to_string();
         if self.sender.as_ref().is_none_or(|sender| sender.is_closed()) {
-            let stream = TcpStream::connect(self.config.discovery);
-            let stream = stream.await.map_err(|error| error.to_string())?;
+            // A connection that never comes up must not cost the time of a whole watch.
+            let connect = TcpStream::connect(self.config.discovery);
+            let connect = timeout(self.limits.discovery_connect, connect).await;
+            let stream = connect
+                .map_err(|_| "never comes up".to_string())?
+                .map_err(|error| error.to_string())?;
             let _ = stream.set_nodelay(true);
             let (sender, connection) =
                 http1::handshake(TokioIo::new(stream)).await.map_err(text)?;
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -48,11 +48,15 @@
     pub silent: Duration,
     /// A move waits so long for an answer that is on its way, or for the end of a line.
     pub move_wait: Duration,
+    /// A client whose machine vanished is noticed by TCP's own probes after this, and three more.
+    pub keep_alive: Duration,
+    pub keep_alive_again: Duration,
     /// The other side's time to read what is left after a last line.
     pub farewell: Duration,
     /// A connection with one direction ended and nothing on the other.
     pub half_closed: Duration,
 
+    pub discovery_connect: Duration,
     /// How long discovery may hold a watch, and beyond that take to answer.
     pub watch_wait: Duration,
     pub watch_slack: Duration,
@@ -102,15 +106,18 @@
             standing_again: ms(250),
             connect: secs(config.connect_timeout.unwrap_or(0.25)),
             probe: ms(300),
-            silent: ms(3000),
+            silent: ms(4000),
             move_wait: ms(250),
+            keep_alive: ms(30_000),
+            keep_alive_again: ms(10_000),
             farewell: ms(500),
             half_closed: ms(5000),
+            discovery_connect: ms(1000),
             watch_wait: secs(0.6 * ask_within),
             watch_slack: secs(0.2 * ask_within),
             backoff: ms(100),
             backoff_most: secs(0.1 * ask_within),
-            list_wait: ms(5000),
+            list_wait: ms(3000),
             drain_wait: ms(700),
             drain_span: ms(800),
             spread_tick: ms(20),
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -135,12 +135,21 @@
 }
 
 /// Follows the lines of a stream without keeping them: only the head of the present one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Scanner {
-    head: [u8; 32],
+    head: [u8; 160],
     len: usize,
 }
 
+impl Default for Scanner {
+    fn default() -> Self {
+        Self {
+            head: [0; 160],
+            len: 0,
+        }
+    }
+}
+
 impl Scanner {
     /// Takes the next bytes and calls back with each line that ends in them: its head, and where
     /// among these bytes the line is over. Allocates nothing.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{debug, info};
-use violetwind_balancer::api::{Outcome, ServerId};
+use violetwind_balancer::api::{Outcome, Report, ServerId};
 
 use crate::book::Booking;
 use crate::driver::Order;
@@ -141,7 +141,7 @@
     /// Since when a line of the client waits for the server to say anything.
     waiting_since: Option<Instant>,
     /// What the server's last word means for the books.
-    outcome: Outcome,
+    outcome: (Outcome, Report),
     /// The connection's load as last told, until the driver has it.
     load: Option<f64>,
     /// A move was ordered, and goes ahead then whatever is under way.
@@ -163,7 +163,7 @@
         up: Way::default(),
         down: Way::default(),
         waiting_since: None,
-        outcome: Outcome::Reset,
+        outcome: (Outcome::Reset, Report::default()),
         load: None,
         move_by: None,
         limits,
@@ -197,7 +197,9 @@
             let _ = server.stream.set_zero_linger();
         }
         End::Moved => {
-            booking.ended(on, Outcome::Cancelled).await;
+            booking
+                .ended(on, (Outcome::Cancelled, Report::default()))
+                .await;
             drop(server);
             client.farewell(limits).await;
         }
@@ -205,11 +207,18 @@
 }
 
 /// Notes what a server's line means beside its way to the client.
-fn understand(head: &[u8], outcome: &mut Outcome, load: &mut Option<f64>) {
+fn understand(head: &[u8], outcome: &mut (Outcome, Report), load: &mut Option<f64>) {
+    // Most lines are the clients' own business.
+    if !["LOAD ", "BYE", "MOVE"]
+        .iter()
+        .any(|word| head.starts_with(word.as_bytes()))
+    {
+        return;
+    }
     match line::word(head) {
         Word::Load(value) => *load = Some(value),
-        Word::Bye(_) => *outcome = Outcome::Ok,
-        Word::Move => *outcome = Outcome::Cancelled,
+        Word::Bye(report) => *outcome = (Outcome::Ok, report),
+        Word::Move => *outcome = (Outcome::Cancelled, Report::default()),
         _ => {}
     }
 }
--- a/crates/proxy/src/take_in.rs
+++ b/crates/proxy/src/take_in.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -85,6 +86,11 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
+                let probes = TcpKeepalive::new()
+                    .with_time(shared.limits.keep_alive)
+                    .with_interval(shared.limits.keep_alive_again)
+                    .with_retries(3);
+                let _ = SockRef::from(&stream).set_tcp_keepalive(&probes);
                 let client = Client {
                     stream,
                     ring: Ring::new(shared.limits.ring_bytes),
@@ -122,6 +128,7 @@
             }
         };
         client.arrived = Instant::now();
+        debug!(line = %String::from_utf8_lossy(&line), "first line");
         match line::first(&line) {
             Some(First::Ping) => {
                 let word = if shared.ready() { "PONG" } else { "ERR" };
--- a/crates/proxy/tests/troubles.rs
+++ b/crates/proxy/tests/troubles.rs
@@ -23,7 +23,7 @@
     client.say("SAY one");
     let at = Instant::now();
     assert_eq!(client.hear(), "MOVE");
-    assert!(at.elapsed() < Duration::from_secs(5));
+    assert!(at.elapsed() < Duration::from_millis(4800));
     assert_eq!(client.end(), End::Closed);
     drop(conn);
     // One that has nothing to say is not silent: it stays.
