--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
-use tracing::{debug, error, info, warn};
+use tracing::{debug, error, info, trace, warn};
 use violetwind_balancer::Balancer;
 use violetwind_balancer::api::{
     Action, Ended, Entry, Event, ListKind, Outcome, Report, Request, RequestId, Secs, ServerId,
@@ -187,6 +187,7 @@
     }
 
     fn notice(&mut self, notice: Notice) {
+        trace!(?notice);
         match notice {
             Notice::List(kind, rows) => {
                 self.list(kind, rows);
@@ -338,6 +339,7 @@
     }
 
     fn carry_out(&mut self, action: Action) {
+        trace!(?action);
         match action {
             Action::Send(id, server, timeout) => {
                 let Some(&(_, endpoint)) = self.addresses.get(&server) else {
