LOAD lines that hold a delay in milliseconds are told apart from loads

Ruled out: failed attempts (one error in the log), lateness (0.5 ms to the first attempt).

notes.rs reads a figure under a tenth of the usual load as a delay where the settings say that delays are told. Tests: the traced figures in a row, a delay that comes first, a site without delays.

--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -34,9 +34,9 @@
         .await;
     }
 
-    /// The load of the connection, in microseconds of work a second.
-    pub async fn load(&self, load: f64) {
-        self.tell(Notice::Load(self.id, load / 1e6)).await;
+    /// The figure of a `LOAD` line.
+    pub async fn load(&self, server: ServerId, figure: f64) {
+        self.tell(Notice::Load(self.id, server, figure)).await;
     }
 
     /// The server leaves the client's lines without an answer.
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -26,6 +26,8 @@
     pub longest_deadline: Secs,
     pub deadlines: Vec<Secs>,
     pub reports: Reports,
+    /// Servers tell how long messages take there.
+    pub tells_delay: bool,
 }
 
 /// Where servers tell their load.
@@ -136,6 +138,7 @@
                 Some("probe") => Reports::Probes,
                 _ => Reports::Nowhere,
             },
+            tells_delay: flat.flag("family-info.tells-delay")?,
             settings,
             names,
         })
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -20,6 +20,7 @@
 use crate::config::{Config, Reports};
 use crate::discovery::{self, Listed};
 use crate::limits::Limits;
+use crate::notes::{Note, Notes};
 use crate::probe::Probes;
 
 /// What the rest of the proxy tells the driver.
@@ -35,7 +36,8 @@
     Up(RequestId, ServerId),
     Ended(Ended),
     Gone(RequestId),
-    Load(RequestId, f64),
+    /// The figure of a `LOAD` line of a connection and its server.
+    Load(RequestId, ServerId, f64),
     /// A server leaves clients' lines without an answer.
     Silent(ServerId),
     Probed(ServerId, Outcome, Report),
@@ -86,6 +88,7 @@
     notices: mpsc::Sender<Notice>,
     ready: watch::Sender<bool>,
     probes: Probes,
+    notes: Notes,
     conns: HashMap<RequestId, Conn>,
     /// Where each server is reached, with the identity behind its number.
     addresses: HashMap<ServerId, (String, SocketAddr)>,
@@ -130,6 +133,7 @@
         Self {
             balancer: Balancer::new(settings, config.seed),
             probes: Probes::new(limits.clone(), reports),
+            notes: Notes::new(config.tells_delay),
             config,
             limits,
             clock,
@@ -230,7 +234,13 @@
                 self.forget(id);
                 self.handle(Event::Gone(id));
             }
-            Notice::Load(id, load) => self.handle(Event::LoadNote(id, load)),
+            Notice::Load(id, server, figure) => {
+                let event = match self.notes.read(figure) {
+                    Note::Load(load) => Event::LoadNote(id, load),
+                    Note::Delay(delay) => Event::DelayNote(server, delay),
+                };
+                self.handle(event);
+            }
             Notice::Silent(server) => {
                 // To the module a server that leaves lines unanswered is as one that leaves probes.
                 let outcome = Outcome::TimedOut;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -12,6 +12,7 @@
 mod driver;
 mod limits;
 mod line;
+mod notes;
 mod probe;
 mod relay;
 mod ring;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -240,7 +240,7 @@
             }
             if let Some(load) = self.load.take() {
                 match load <= self.limits.most_load {
-                    true => booking.load(load).await,
+                    true => booking.load(on, load).await,
                     false => info!(load, "a load that makes no sense is passed over"),
                 }
             }
