--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -116,7 +116,7 @@
             watch_wait: secs(0.6 * ask_within),
             watch_slack: secs(0.2 * ask_within),
             backoff: ms(100),
-            backoff_most: secs(0.1 * ask_within),
+            backoff_most: secs(0.2 * ask_within),
             list_wait: ms(3000),
             drain_wait: ms(700),
             drain_span: ms(800),
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -529,6 +529,14 @@
     }
 }
 
+/// One server, listed, and a proxy that is ready.
+pub fn one_server() -> (Server, Discovery, Proxy) {
+    let server = Server::start("s-1");
+    let discovery = Discovery::start(&[server.target("ready")]);
+    let proxy = Proxy::start(&discovery);
+    (server, discovery, proxy)
+}
+
 /// A server's address that nothing listens on.
 pub fn refusing() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0")
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -4,16 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Peer, Proxy, Server, target};
+use common::{Discovery, End, Peer, Proxy, Server, one_server, target};
 use serde_json::json;
 
-fn one_server() -> (Server, Discovery, Proxy) {
-    let server = Server::start("s-1");
-    let discovery = Discovery::start(&[server.target("ready")]);
-    let proxy = Proxy::start(&discovery);
-    (server, discovery, proxy)
-}
-
 #[test]
 fn a_connection_is_placed_and_its_lines_pass_both_ways_unchanged() {
     let (server, _discovery, proxy) = one_server();
--- a/crates/proxy/tests/shutdown.rs
+++ b/crates/proxy/tests/shutdown.rs
@@ -4,14 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Peer, Proxy, Server};
-
-fn one_server() -> (Server, Discovery, Proxy) {
-    let server = Server::start("s-1");
-    let discovery = Discovery::start(&[server.target("ready")]);
-    let proxy = Proxy::start(&discovery);
-    (server, discovery, proxy)
-}
+use common::{Discovery, End, Peer, Proxy, Server, one_server};
 
 /// The longest deadline of the test's settings, and what the operators give beyond.
 const KILLED: Duration = Duration::from_millis(2700);
--- a/crates/proxy/tests/troubles.rs
+++ b/crates/proxy/tests/troubles.rs
@@ -4,16 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Mood, Peer, Proxy, Server, target};
+use common::{Discovery, End, Mood, Peer, Proxy, Server, one_server, target};
 use serde_json::json;
 
-fn one_server() -> (Server, Discovery, Proxy) {
-    let server = Server::start("s-1");
-    let discovery = Discovery::start(&[server.target("ready")]);
-    let proxy = Proxy::start(&discovery);
-    (server, discovery, proxy)
-}
-
 /// A machine that vanished leaves its connections open: only lines without an answer tell.
 #[test]
 fn the_client_of_a_silent_server_is_moved_within_seven_seconds() {
