--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -122,7 +122,7 @@
             drain_span: ms(800),
             spread_tick: ms(20),
             term_serve: ms(450),
-            term_moved: secs(term - 0.1),
+            term_moved: secs((0.65 * term).max(0.8)),
             term_exit: secs(term + 0.45),
         }
     }
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Peer, Proxy, Server, refusing, target};
+use common::{Discovery, End, Peer, Proxy, Server, target, unused};
 
 /// Two servers, the first of which the module ranks lower and so tries first.
 fn two_servers() -> (Server, Server, Discovery, Proxy) {
@@ -75,7 +75,7 @@
 fn a_refused_connection_is_no_attempt_that_ran() {
     let alive = Server::start("s-2");
     let discovery = Discovery::start(&[
-        target("s-1", &refusing().to_string(), "ready"),
+        target("s-1", &unused().to_string(), "ready"),
         alive.target("ready"),
     ]);
     let proxy = Proxy::start(&discovery);
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -381,11 +381,7 @@
 
     /// Started, with changes to its configuration.
     pub fn launch(discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Self {
-        // A free port now; nobody else on this machine is given it soon again.
-        let addr = TcpListener::bind("127.0.0.1:0")
-            .unwrap()
-            .local_addr()
-            .unwrap();
+        let addr = unused();
         let mut config = json!({
             "name": "n0", "listen": addr.to_string(), "discovery": discovery.to_string(),
             "seed": "8c1f30d27a5be964",
@@ -537,12 +533,14 @@
     (server, discovery, proxy)
 }
 
-/// A server's address that nothing listens on.
-pub fn refusing() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+/// An address that nothing listens on, and that nobody else is given: no other test has its host.
+pub fn unused() -> SocketAddr {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    let id = std::process::id();
+    let count = COUNT.fetch_add(1, Ordering::Relaxed) as u8;
+    let host = Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 64, id as u8, count);
+    let listener = TcpListener::bind((host, 0)).unwrap();
+    listener.local_addr().unwrap()
 }
 
 /// Reads all that is left on a raw stream.
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -150,7 +150,7 @@
 #[test]
 fn without_discovery_the_list_of_the_last_run_is_used() {
     let server = Server::start("s-1");
-    let nobody = common::refusing();
+    let nobody = common::unused();
     let proxy = Proxy::launch(nobody, |config| {
         config["known"] = json!({"rev": 7, "all": true, "targets": [server.target("ready")]});
     });
