The program ends no sooner than 0.75 s after SIGTERM; further figures stand in Limits

shutdown.rs ended at 0.45 s when nothing was owed, 50 ms after the last client may come: one still in the listener's queue would have been reset. A test serves and moves clients up to 0.4 s after the signal. The reads in a row (relay.rs) and the pause of the listener (take_in.rs) moved to Limits. A test for an address that is taken.

--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -14,6 +14,8 @@
     pub line_bytes: usize,
     /// One direction of one connection. It holds the longest line and its end.
     pub ring_bytes: usize,
+    /// Reads of one direction in a row: one busy connection must not keep the others waiting.
+    pub reads: usize,
     /// Descriptors for clients and their servers, and for probes. What is left is the reserve: the
     /// listener, discovery, the runtime's own and the standard streams.
     pub descriptors: usize,
@@ -30,6 +32,8 @@
     /// The most load of one connection that is believed, in microseconds of work a second.
     pub most_load: f64,
 
+    /// A listener that has no descriptor left, or fails, tries again after this.
+    pub accept_again: Duration,
     /// From a connection's acceptance until its first line is whole.
     pub first_line: Duration,
     /// The same while descriptors are scarce: lines that never end must not keep others out.
@@ -71,9 +75,11 @@
     pub drain_span: Duration,
     /// How often moves that are spread out are given out.
     pub spread_tick: Duration,
-    /// After SIGTERM: connections still come; moves spread from there to here; then the end.
+    /// After SIGTERM: connections still come; moves spread from there to here; then the end, not
+    /// before some time has passed for the last that come.
     pub term_serve: Duration,
     pub term_moved: Duration,
+    pub term_least: Duration,
     pub term_exit: Duration,
 }
 
@@ -89,6 +95,7 @@
         Self {
             line_bytes: 4096,
             ring_bytes: 8192,
+            reads: 8,
             descriptors: sockets.saturating_sub(reserve + probe_descriptors).max(3),
             probe_descriptors,
             events: 1024,
@@ -98,6 +105,7 @@
             list_rows: 20_000,
             // A thousand cores kept busy by one connection.
             most_load: 1e9,
+            accept_again: ms(2),
             first_line: ms(3000),
             first_line_scarce: ms(250),
             idle_probe: ms(30_000),
@@ -122,6 +130,7 @@
             drain_span: ms(800),
             spread_tick: ms(20),
             term_serve: ms(450),
+            term_least: ms(750),
             term_moved: secs((0.65 * term).max(0.8)),
             term_exit: secs(term + 0.45),
         }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -19,9 +19,6 @@
 use crate::send::Server;
 use crate::take_in::Client;
 
-/// Reads of one direction in a row.
-const ROUNDS: usize = 8;
-
 /// One direction of a connection.
 #[derive(Debug, Default)]
 struct Way {
@@ -51,17 +48,17 @@
         });
     }
 
-    /// Reads and writes until neither goes on, or for some rounds: one busy connection must not keep
-    /// the others waiting. True if anything was read or written.
+    /// Reads and writes until neither goes on, or so many times. True if anything was read or written.
     fn pump(
         &mut self,
         ring: &mut Ring,
         from: &TcpStream,
         to: &TcpStream,
+        reads: usize,
         mut line: impl FnMut(&[u8]),
     ) -> Result<bool, Broken> {
         let mut moved = false;
-        for _ in 0..ROUNDS {
+        for _ in 0..reads {
             let mut now = false;
             if !self.ended && ring.free() > 0 {
                 let before = ring.len();
@@ -305,12 +302,17 @@
 
     fn pump(&mut self) -> Result<bool, End> {
         let (client, server) = (&mut self.client, &mut self.server);
+        let reads = self.limits.reads;
         let mut asked = false;
         let sent = self
             .up
-            .pump(&mut client.ring, &client.stream, &server.stream, |_| {
-                asked = true
-            })
+            .pump(
+                &mut client.ring,
+                &client.stream,
+                &server.stream,
+                reads,
+                |_| asked = true,
+            )
             .map_err(|broken| match broken {
                 Broken::Reading => End::ClientBroke,
                 Broken::Writing => End::ServerBroke,
@@ -322,10 +324,16 @@
         let mut heard = false;
         let got = self
             .down
-            .pump(&mut server.ring, &server.stream, &client.stream, |head| {
-                heard = true;
-                understand(head, outcome, load);
-            })
+            .pump(
+                &mut server.ring,
+                &server.stream,
+                &client.stream,
+                reads,
+                |head| {
+                    heard = true;
+                    understand(head, outcome, load);
+                },
+            )
             .map_err(|broken| match broken {
                 Broken::Reading => End::ServerBroke,
                 Broken::Writing => End::ClientBroke,
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -26,7 +26,7 @@
     info!("told to end");
     // Without a driver there is nobody to move.
     let _ = driver.send(Notice::Shutdown).await;
-    let (from, until) = (asked + limits.term_serve, asked + limits.term_exit);
+    let (from, until) = (asked + limits.term_least, asked + limits.term_exit);
     sleep_until(from).await;
     // One is always held by the listener for the next client.
     while Instant::now() < until && descriptors.in_use() > 1 {
--- a/crates/proxy/src/take_in.rs
+++ b/crates/proxy/src/take_in.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
@@ -79,7 +78,7 @@
             if !std::mem::replace(&mut told, true) {
                 warn!("no descriptor left: new connections wait");
             }
-            sleep(Duration::from_millis(2)).await;
+            sleep(shared.limits.accept_again).await;
             continue;
         };
         told = false;
@@ -102,7 +101,7 @@
             Err(error) => {
                 // One that left while it waited, or a shortage: others are served on.
                 info!(%error, "accept");
-                sleep(Duration::from_millis(2)).await;
+                sleep(shared.limits.accept_again).await;
             }
         }
     }
--- a/crates/proxy/tests/shutdown.rs
+++ b/crates/proxy/tests/shutdown.rs
@@ -54,6 +54,26 @@
     assert!(at.elapsed() < KILLED, "{:?}", at.elapsed());
 }
 
+/// The front notices late: with nothing owed the program must not be gone while clients still come.
+#[test]
+fn clients_that_come_up_to_0_4_s_later_are_served_and_moved() {
+    let (server, _discovery, mut proxy) = one_server();
+    proxy.signal("-TERM");
+    proxy.logged("told to end");
+    let at = Instant::now();
+    let mut came = Vec::new();
+    while at.elapsed() < Duration::from_millis(400) {
+        came.push(proxy.up(&server));
+        std::thread::sleep(Duration::from_millis(40));
+    }
+    for (client, _conn) in &mut came {
+        assert_eq!(client.hear(), "MOVE");
+        assert_eq!(client.end(), End::Closed);
+    }
+    assert!(proxy.ended().success());
+    assert!(at.elapsed() < KILLED, "{:?}", at.elapsed());
+}
+
 #[test]
 fn with_nothing_owed_it_ends_soon() {
     let (_server, _discovery, mut proxy) = one_server();
--- a/crates/proxy/tests/troubles.rs
+++ b/crates/proxy/tests/troubles.rs
@@ -273,3 +273,13 @@
         proxy.logged("violetwind: ");
     }
 }
+
+#[test]
+fn an_address_that_is_taken_ends_it_with_a_plain_message() {
+    let (_server, discovery, proxy) = one_server();
+    let mut second = Proxy::launch(discovery.addr, |config| {
+        config["listen"] = json!(proxy.addr.to_string());
+    });
+    assert!(!second.ended().success());
+    second.logged(&format!("violetwind: {}", proxy.addr));
+}
