Tests give proxies a port that the system hands to nobody; a server that never comes up

A test plays a vanished machine by a full listen queue: a request that must not run twice is served elsewhere within half a second.

--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Peer, Proxy, Server, target, unused};
+use common::{Discovery, End, Peer, Proxy, Server, Vanished, target, unused};
 
 /// Two servers, the first of which the module ranks lower and so tries first.
 fn two_servers() -> (Server, Server, Discovery, Proxy) {
@@ -86,6 +86,29 @@
     assert_eq!(client.hear(), "UP 7");
 }
 
+/// A machine that has vanished takes no connection: nothing has run there, and the wait is short.
+#[test]
+fn a_connection_that_never_comes_up_is_no_attempt_that_ran() {
+    let vanished = Vanished::start();
+    let alive = Server::start("s-2");
+    let discovery = Discovery::start(&[
+        target("s-1", &vanished.addr.to_string(), "ready"),
+        alive.target("ready"),
+    ]);
+    let proxy = Proxy::start(&discovery);
+    for number in 0..3 {
+        let at = Instant::now();
+        let mut client = proxy.open("book");
+        alive.opened().1.say(&format!("UP {number}"));
+        assert_eq!(client.hear(), format!("UP {number}"));
+        assert!(
+            at.elapsed() < Duration::from_millis(500),
+            "{:?}",
+            at.elapsed()
+        );
+    }
+}
+
 /// Time-outs run from the arrival of the line, over all attempts together.
 #[test]
 fn a_silent_server_costs_no_more_than_the_clients_time() {
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -108,6 +108,36 @@
     }
 }
 
+/// A machine that takes no connection and refuses none: its queue of new ones is full.
+pub struct Vanished {
+    pub addr: SocketAddr,
+    _listener: socket2::Socket,
+    _queue: Vec<socket2::Socket>,
+}
+
+impl Vanished {
+    pub fn start() -> Self {
+        use socket2::{Domain, Socket, Type};
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        listener.bind(&any.into()).unwrap();
+        listener.listen(0).unwrap();
+        let addr = listener.local_addr().unwrap().as_socket().unwrap();
+        let fill = |_| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            // It comes up or hangs; either fills the queue.
+            let _ = socket.connect(&addr.into());
+            socket
+        };
+        Self {
+            addr,
+            _listener: listener,
+            _queue: (0..4).map(fill).collect(),
+        }
+    }
+}
+
 /// What a server answers a probe with, nothing if it is silent, and whether it has answered any.
 #[derive(Debug, Default)]
 struct Probes {
@@ -574,14 +604,14 @@
     (server, discovery, proxy)
 }
 
-/// An address that nothing listens on, and that nobody else is given: no other test has its host.
+/// An address that nothing listens on, and that nobody else is given: no other test has its host,
+/// and the system gives no such port to connections. A port that was free a moment ago may not be now.
 pub fn unused() -> SocketAddr {
     static COUNT: AtomicU32 = AtomicU32::new(1);
     let id = std::process::id();
     let count = COUNT.fetch_add(1, Ordering::Relaxed) as u8;
     let host = Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 64, id as u8, count);
-    let listener = TcpListener::bind((host, 0)).unwrap();
-    listener.local_addr().unwrap()
+    (host, 3000).into()
 }
 
 /// Reads all that is left on a raw stream.
