One way to read and write lines in the proxy; state and variants that nothing needs are gone

Found in a last reading of the whole change; behaviour stays, the tests' assertions are untouched. - The wait, read and skip loop stood in probe.rs, send.rs and three times in take_in.rs: Ring::fill and Ring::first_line serve all; skip_block moved to ring.rs from probe.rs. Three hand-written loops that write a line are tokio's write_all. - A permit's count was always 1 (limits.rs), Answer::Served was treated as Answer::Up (route.rs), the driver kept a sender only to hand it to the probers, and an environment variable of no name was asked for the seed (config.rs). - The end of an attempt and of a connection build their notice in one place (book.rs), a probe's outcomes theirs (probe.rs); one test of what a figure may be, one cut of a line for the log (line.rs). - crates/common: a function in place of an empty type.

--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -9,6 +9,6 @@
 
 pub use facts::Facts;
 pub use ids::{group_id, server_id};
-pub use report::{Word, note};
+pub use report::note;
 pub use rows::Row;
 pub use settings::{Names, settings};
--- a/crates/common/src/settings.rs
+++ b/crates/common/src/settings.rs
@@ -3,7 +3,7 @@
 use violetwind_balancer::api::{Class, Effect, Scope, Settings, Tenant};
 
 use crate::facts::Facts;
-use crate::report::Word;
+use crate::report::field;
 
 /// The names an instance's settings use; inside, classes, tenants, zones and kinds are numbers.
 #[derive(Clone, Debug, Default)]
@@ -83,7 +83,7 @@
         report_fields: facts
             .list("reporting.fields")
             .iter()
-            .filter_map(|name| Word::field(name))
+            .filter_map(|name| field(name))
             .collect(),
         max_attempts: facts.int_or("permissions.max-attempts", 1)? as usize,
         max_retry_after: facts.number_or("permissions.max-retry-after-s", 0.0)?,
--- a/crates/proxy/src/admit.rs
+++ b/crates/proxy/src/admit.rs
@@ -35,7 +35,7 @@
     };
     // Some stay free, or a few slow clients would keep all others from even a refusal.
     let turn_away = shared.limits.turn_away;
-    let Some(permit) = shared.descriptors.take_leaving(1, turn_away) else {
+    let Some(permit) = shared.descriptors.take_leaving(turn_away) else {
         warn!("no descriptor left: a client is turned away");
         return client.answer("BUSY", &shared.limits).await;
     };
--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -24,14 +24,7 @@
 
     /// The end of an attempt, after which the module goes on.
     pub async fn attempt_ended(&self, server: ServerId, outcome: Outcome, report: Report) {
-        self.tell(Notice::Ended(Ended {
-            id: self.id,
-            server,
-            outcome,
-            last: false,
-            report,
-        }))
-        .await;
+        self.tell_end(server, outcome, report, false).await;
     }
 
     /// The figure of a `LOAD` line.
@@ -47,14 +40,18 @@
     /// The connection ended from the server's side, or was moved.
     pub async fn ended(mut self, server: ServerId, (outcome, report): (Outcome, Report)) {
         self.closed = true;
-        let ended = Ended {
+        self.tell_end(server, outcome, report, true).await;
+    }
+
+    async fn tell_end(&self, server: ServerId, outcome: Outcome, report: Report, last: bool) {
+        self.tell(Notice::Ended(Ended {
             id: self.id,
             server,
             outcome,
-            last: true,
+            last,
             report,
-        };
-        self.tell(Notice::Ended(ended)).await;
+        }))
+        .await;
     }
 
     /// The client left.
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -96,10 +96,11 @@
 
     fn parse(text: &str, over: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let json: Value = serde_json::from_str(text).map_err(|error| error.to_string())?;
-        let told = |variable: &str, key: &str| {
-            let value = over(variable).or_else(|| json[key].as_str().map(str::to_string));
+        let text = |key: &str| {
+            let value = json[key].as_str().map(str::to_string);
             value.ok_or_else(|| format!("expected the text `{key}`"))
         };
+        let told = |variable: &str, key: &str| over(variable).map_or_else(|| text(key), Ok);
         let address = |variable: &str, key: &str| {
             let value = told(variable, key)?;
             value
@@ -110,7 +111,7 @@
             let value = json["limits"][key].as_u64();
             value.ok_or_else(|| format!("expected the whole number `limits.{key}`"))
         };
-        let seed = told("", "seed")?;
+        let seed = text("seed")?;
         if !json["settings"].is_object() {
             return Err("expected the object `settings`".into());
         }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -84,8 +84,6 @@
     balancer: Balancer,
     actions: Vec<Action>,
     inbox: mpsc::Receiver<Notice>,
-    /// For the probers, which answer as everybody does.
-    notices: mpsc::Sender<Notice>,
     ready: watch::Sender<bool>,
     probes: Probes,
     notes: Notes,
@@ -132,14 +130,13 @@
         let reports = config.reports != Reports::Nowhere && !settings.report_fields.is_empty();
         Self {
             balancer: Balancer::new(settings, config.seed),
-            probes: Probes::new(limits.clone(), reports),
+            probes: Probes::new(limits.clone(), reports, notices),
             notes: Notes::new(config.tells_delay),
             config,
             limits,
             clock,
             actions: Vec::new(),
             inbox,
-            notices,
             ready,
             conns: HashMap::new(),
             addresses: HashMap::new(),
@@ -315,10 +312,8 @@
         if status == Status::Up {
             self.draining.remove(&server);
         } else if !self.draining.contains_key(&server) && self.leaving.is_none() {
-            let left: Vec<RequestId> = match self.on_server.get(&server) {
-                Some(ids) => ids.iter().copied().collect(),
-                None => Vec::new(),
-            };
+            let left = self.on_server.get(&server).into_iter().flatten();
+            let left: Vec<RequestId> = left.copied().collect();
             let uid = self.addresses.get(&server).map(|(uid, _)| uid);
             info!(uid, ?status, connections = left.len(), "a server leaves");
             // A server that is gone already has no time to wait for.
@@ -387,7 +382,7 @@
                 let Some(&(_, endpoint)) = self.addresses.get(&server) else {
                     return;
                 };
-                if !self.probes.probe(server, endpoint, &self.notices) {
+                if !self.probes.probe(server, endpoint) {
                     debug!(server, "too many probes wait: one is left out");
                 }
             }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -165,21 +165,20 @@
         self.all - self.left.get()
     }
 
-    /// So many descriptors until the permit is dropped, if there are as many.
-    pub fn take(&self, count: usize) -> Option<Permit> {
-        self.take_leaving(count, 0)
+    /// A descriptor until the permit is dropped, if there is one.
+    pub fn take(&self) -> Option<Permit> {
+        self.take_leaving(0)
     }
 
     /// The same, if so many others then remain.
-    pub fn take_leaving(&self, count: usize, others: usize) -> Option<Permit> {
-        let left = self.left.get().checked_sub(count)?;
+    pub fn take_leaving(&self, others: usize) -> Option<Permit> {
+        let left = self.left.get().checked_sub(1)?;
         if left < others {
             return None;
         }
         self.left.set(left);
         Some(Permit {
             left: self.left.clone(),
-            count,
         })
     }
 }
@@ -187,11 +186,10 @@
 #[derive(Debug)]
 pub struct Permit {
     left: Rc<Cell<usize>>,
-    count: usize,
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.left.set(self.left.get() + self.count);
+        self.left.set(self.left.get() + 1);
     }
 }
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -1,5 +1,6 @@
 //! The lines that clients and servers speak, understood and written. They end by CRLF.
 
+use std::borrow::Cow;
 use std::str;
 
 use tracing::info;
@@ -90,6 +91,16 @@
     }
 }
 
+/// The beginning of a line that could not be understood, for the log.
+pub fn shown(line: &[u8]) -> Cow<'_, str> {
+    String::from_utf8_lossy(&line[..line.len().min(80)])
+}
+
+/// Whether a figure can be a load, or a value of a load report.
+fn sensible(figure: f64) -> bool {
+    figure.is_finite() && figure >= 0.0
+}
+
 pub fn word(line: &[u8]) -> Word {
     let Ok(line) = str::from_utf8(line) else {
         return Word::Other;
@@ -98,8 +109,8 @@
 }
 
 fn parse_word(input: &mut &str) -> Parsed<Word> {
-    let sensible = |load: &f64| load.is_finite() && *load >= 0.0;
-    let load = preceded("LOAD ", float.verify(sensible)).map(Word::Load);
+    let figure = float.verify(|load| sensible(*load));
+    let load = preceded("LOAD ", figure).map(Word::Load);
     alt((
         terminated(load, eof),
         terminated("MOVE", eof).value(Word::Move),
@@ -121,7 +132,7 @@
         let pair: Parsed<(&str, f64)> =
             separated_pair(name, alt(('=', ':')), terminated(float, eof)).parse_next(&mut &*part);
         match pair {
-            Ok((name, value)) if value.is_finite() && value >= 0.0 => {
+            Ok((name, value)) if sensible(value) => {
                 note(&mut report, name, value);
             }
             _ if part.is_empty() => {}
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -24,26 +25,23 @@
     descriptors: Descriptors,
     /// `STATS` where probes bring load reports, else `PING`.
     question: &'static [u8],
+    driver: mpsc::Sender<Notice>,
     probers: HashMap<ServerId, mpsc::Sender<SocketAddr>>,
 }
 
 impl Probes {
-    pub fn new(limits: Rc<Limits>, reports: bool) -> Self {
+    pub fn new(limits: Rc<Limits>, reports: bool, driver: mpsc::Sender<Notice>) -> Self {
         Self {
             descriptors: Descriptors::new(limits.probe_descriptors),
             limits,
             question: if reports { b"STATS\r\n" } else { b"PING\r\n" },
+            driver,
             probers: HashMap::new(),
         }
     }
 
     /// Probes a server at an address; the answer comes as a notice. False if too many wait there.
-    pub fn probe(
-        &mut self,
-        server: ServerId,
-        at: SocketAddr,
-        driver: &mpsc::Sender<Notice>,
-    ) -> bool {
+    pub fn probe(&mut self, server: ServerId, at: SocketAddr) -> bool {
         // A prober that was idle for long has ended.
         let running = self.probers.get(&server).filter(|tx| !tx.is_closed());
         let tx = running.cloned().unwrap_or_else(|| {
@@ -55,7 +53,7 @@
                 question: self.question,
                 kept: None,
             };
-            tokio::task::spawn_local(prober.run(rx, driver.clone()));
+            tokio::task::spawn_local(prober.run(rx, self.driver.clone()));
             self.probers.insert(server, tx.clone());
             tx
         });
@@ -75,7 +73,7 @@
 impl Prober {
     async fn run(mut self, mut asked: mpsc::Receiver<SocketAddr>, driver: mpsc::Sender<Notice>) {
         while let Ok(Some(endpoint)) = timeout(self.limits.idle_probe, asked.recv()).await {
-            let (outcome, report) = self.probe(endpoint).await;
+            let (outcome, report) = answer(self.probe(endpoint).await);
             if outcome != Outcome::Ok {
                 debug!(server = self.server, ?outcome, "probe");
             }
@@ -86,73 +84,50 @@
         }
     }
 
-    async fn probe(&mut self, endpoint: SocketAddr) -> (Outcome, Report) {
+    /// What the server answers, or how it does not.
+    async fn probe(&mut self, endpoint: SocketAddr) -> Result<Word, Outcome> {
         let until = Instant::now() + self.limits.probe;
         // A kept connection may have ended since; that says nothing about the server.
-        if let Some((at, stream, permit)) = self.kept.take().filter(|kept| kept.0 == endpoint)
-            && let Ok(Ok(word)) = timeout_at(until, self.ask(&stream)).await
+        if let Some((at, mut stream, permit)) = self.kept.take().filter(|kept| kept.0 == endpoint)
+            && let Ok(Ok(word)) = timeout_at(until, self.ask(&mut stream)).await
         {
             self.kept = Some((at, stream, permit));
-            return answer(word);
+            return Ok(word);
         }
-        let Some(permit) = self.descriptors.take(1) else {
-            return (Outcome::NotSent, Report::default());
+        let Some(permit) = self.descriptors.take() else {
+            return Err(Outcome::NotSent);
         };
         let connect = timeout_at(
             until.min(Instant::now() + self.limits.connect),
             TcpStream::connect(endpoint),
         );
-        let Ok(Ok(stream)) = connect.await else {
-            return (Outcome::ConnectFailed, Report::default());
+        let Ok(Ok(mut stream)) = connect.await else {
+            return Err(Outcome::ConnectFailed);
         };
         let _ = stream.set_nodelay(true);
-        match timeout_at(until, self.ask(&stream)).await {
+        match timeout_at(until, self.ask(&mut stream)).await {
             Ok(Ok(word)) => {
                 self.kept = Some((endpoint, stream, permit));
-                answer(word)
+                Ok(word)
             }
-            Ok(Err(_)) => (Outcome::Reset, Report::default()),
-            Err(_) => (Outcome::TimedOut, Report::default()),
+            Ok(Err(_)) => Err(Outcome::Reset),
+            Err(_) => Err(Outcome::TimedOut),
         }
     }
 
-    async fn ask(&self, stream: &TcpStream) -> io::Result<Word> {
-        let mut out = Ring::new(16);
-        out.push(self.question);
-        while !out.is_empty() {
-            stream.writable().await?;
-            skip_block(out.write_to(stream))?;
-        }
+    async fn ask(&self, stream: &mut TcpStream) -> io::Result<Word> {
+        stream.write_all(self.question).await?;
         let mut ring = Ring::new(self.limits.line_bytes);
-        loop {
-            if let Some(line) = ring.take_line() {
-                return Ok(line::word(&line));
-            }
-            if ring.free() == 0 {
-                return Err(io::ErrorKind::InvalidData.into());
-            }
-            stream.readable().await?;
-            if skip_block(ring.read_from(stream, |_| {}))? == Some(0) {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-    }
-}
-
-fn answer(word: Word) -> (Outcome, Report) {
-    match word {
-        Word::Pong(report) => (Outcome::Ok, report),
-        Word::Busy(report) => (Outcome::Full, report),
-        Word::Err(report) => (Outcome::Error, report),
-        _ => (Outcome::Error, Report::default()),
+        Ok(line::word(&ring.first_line(stream).await?))
     }
 }
 
-/// What a socket call did, `None` if the socket was not ready after all.
-pub fn skip_block<T>(result: io::Result<T>) -> io::Result<Option<T>> {
-    match result {
-        Ok(done) => Ok(Some(done)),
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
-        Err(error) => Err(error),
+fn answer(answer: Result<Word, Outcome>) -> (Outcome, Report) {
+    match answer {
+        Ok(Word::Pong(report)) => (Outcome::Ok, report),
+        Ok(Word::Busy(report)) => (Outcome::Full, report),
+        Ok(Word::Err(report)) => (Outcome::Error, report),
+        Ok(_) => (Outcome::Error, Report::default()),
+        Err(outcome) => (outcome, Report::default()),
     }
 }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -14,8 +14,7 @@
 use crate::driver::Order;
 use crate::limits::Limits;
 use crate::line::{self, Scanner, Word};
-use crate::probe::skip_block;
-use crate::ring::Ring;
+use crate::ring::{Ring, skip_block};
 use crate::send::Server;
 use crate::take_in::Client;
 
--- a/crates/proxy/src/ring.rs
+++ b/crates/proxy/src/ring.rs
@@ -44,6 +44,31 @@
         Ok(got)
     }
 
+    /// Waits for what comes and reads once. 0 is the end of the stream; the ring must not be full.
+    pub async fn fill(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        loop {
+            stream.readable().await?;
+            if let Some(got) = skip_block(self.read_from(stream, |_| {}))? {
+                return Ok(got);
+            }
+        }
+    }
+
+    /// Reads until the first line is whole; it stays in the ring.
+    pub async fn first_line(&mut self, stream: &TcpStream) -> io::Result<Vec<u8>> {
+        loop {
+            if let Some(line) = self.peek_line() {
+                return Ok(line);
+            }
+            if self.free() == 0 {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            if self.fill(stream).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
     /// Writes once what the socket takes.
     pub fn write_to(&mut self, stream: &TcpStream) -> io::Result<usize> {
         let end = (self.head + self.len).min(self.bytes.len());
@@ -114,6 +139,15 @@
     }
 }
 
+/// What a socket call did, `None` if the socket was not ready after all.
+pub fn skip_block<T>(result: io::Result<T>) -> io::Result<Option<T>> {
+    match result {
+        Ok(done) => Ok(Some(done)),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
+        Err(error) => Err(error),
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -16,8 +16,8 @@
 
 /// What a request comes to.
 enum Answer {
-    Up(ServerId, Server),
-    Served(ServerId, Server),
+    /// A server has it; what it said so far is for the client.
+    Taken(ServerId, Server),
     Refused(Option<Secs>),
     Failed,
     /// The client stopped waiting, by leaving or by its deadline.
@@ -30,7 +30,7 @@
     let id = admitted.open.id;
     let booking = Booking::new(admitted.request.id, shared.driver.clone());
     match decide(&mut client, &admitted, shared, &booking, to, &mut orders).await {
-        Answer::Up(on, server) | Answer::Served(on, server) => {
+        Answer::Taken(on, server) => {
             relay::relay(client, server, on, orders, booking, limits).await;
         }
         Answer::Refused(wait) => {
@@ -112,9 +112,9 @@
                         None => Notice::Up(request.id, on),
                     })
                     .await;
-                return Answer::Up(on, server);
+                return Answer::Taken(on, server);
             }
-            Attempt::Served(server) => return Answer::Served(on, server),
+            Attempt::Served(server) => return Answer::Taken(on, server),
             Attempt::Failed(outcome, _) if admitted.stood_at.is_some() => {
                 info!(
                     id = admitted.open.id,
--- a/crates/proxy/src/send.rs
+++ b/crates/proxy/src/send.rs
@@ -1,16 +1,16 @@
 //! Stage four: one attempt at one server, from the connect to the server's first line.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
+use tracing::warn;
 use violetwind_balancer::api::{Outcome, Report};
 
 use crate::limits::Limits;
 use crate::line::{self, Open, Word};
-use crate::probe::skip_block;
 use crate::ring::Ring;
 
 /// The server's side of a connection.
@@ -42,26 +42,21 @@
     let until = start + within;
     let failed = |outcome| Attempt::Failed(outcome, Report::default());
     let connect = TcpStream::connect(endpoint);
-    let Ok(Ok(stream)) = timeout_at(until.min(start + limits.connect), connect).await else {
+    let Ok(Ok(mut stream)) = timeout_at(until.min(start + limits.connect), connect).await else {
         return failed(Outcome::ConnectFailed);
     };
     let _ = stream.set_nodelay(true);
     let left = until.saturating_duration_since(Instant::now());
-    match timeout_at(
-        until,
-        write(&stream, &open.waiting(left.as_millis() as u64)),
-    )
-    .await
-    {
-        Ok(Ok(())) => {}
+    let line = open.waiting(left.as_millis() as u64);
+    let Ok(Ok(())) = timeout_at(until, stream.write_all(&line)).await else {
         // Without the line's last byte nothing can have run.
-        _ => return failed(Outcome::ConnectFailed),
-    }
+        return failed(Outcome::ConnectFailed);
+    };
     let mut server = Server {
         stream,
         ring: Ring::new(limits.ring_bytes),
     };
-    match timeout_at(until, server.first_line()).await {
+    match timeout_at(until, server.ring.first_line(&server.stream)).await {
         Err(_) => failed(Outcome::TimedOut),
         Ok(Err(_)) => failed(Outcome::Reset),
         Ok(Ok(line)) => match line::word(&line) {
@@ -71,39 +66,9 @@
             Word::Busy(report) => Attempt::Failed(Outcome::Full, report),
             Word::Err(report) => Attempt::Failed(Outcome::Error, report),
             _ => {
-                let line = String::from_utf8_lossy(&line[..line.len().min(80)]).into_owned();
-                tracing::warn!(%endpoint, line, "a server's line that is unknown");
+                warn!(%endpoint, line = %line::shown(&line), "a server's line that is unknown");
                 failed(Outcome::Error)
             }
         },
     }
 }
-
-async fn write(stream: &TcpStream, line: &[u8]) -> io::Result<()> {
-    let mut rest = line;
-    while !rest.is_empty() {
-        stream.writable().await?;
-        if let Some(sent) = skip_block(stream.try_write(rest))? {
-            rest = &rest[sent..];
-        }
-    }
-    Ok(())
-}
-
-impl Server {
-    /// Reads until the first line is whole; it stays in the ring.
-    async fn first_line(&mut self) -> io::Result<Vec<u8>> {
-        loop {
-            if let Some(line) = self.ring.peek_line() {
-                return Ok(line);
-            }
-            if self.ring.free() == 0 {
-                return Err(io::ErrorKind::InvalidData.into());
-            }
-            self.stream.readable().await?;
-            if skip_block(self.ring.read_from(&self.stream, |_| {}))? == Some(0) {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-    }
-}
--- a/crates/proxy/src/take_in.rs
+++ b/crates/proxy/src/take_in.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -14,7 +15,6 @@
 use crate::driver::Notice;
 use crate::limits::{Descriptors, Limits, Permit};
 use crate::line::{self, First};
-use crate::probe::skip_block;
 use crate::ring::Ring;
 
 /// What all connections share.
@@ -74,7 +74,7 @@
 pub async fn accept(listener: TcpListener, shared: Rc<Shared>) {
     let mut told = false;
     loop {
-        let Some(permit) = shared.descriptors.take(1) else {
+        let Some(permit) = shared.descriptors.take() else {
             if !std::mem::replace(&mut told, true) {
                 warn!("no descriptor left: new connections wait");
             }
@@ -143,7 +143,7 @@
             }
             Some(First::Open(open)) => return admit::admit(client, &open, &shared).await,
             None => {
-                info!(line = %String::from_utf8_lossy(&line[..line.len().min(80)]), "unknown line");
+                info!(line = %line::shown(&line), "unknown line");
                 return client.answer("ERR", &shared.limits).await;
             }
         }
@@ -154,19 +154,18 @@
     /// The next line; none if the client left before.
     async fn line(&mut self, longest: usize) -> Result<Option<Vec<u8>>, String> {
         loop {
-            match self.ring.take_line() {
-                Some(line) if line.len() <= longest => return Ok(Some(line)),
-                _ if self.ring.len() > longest => return Err("over-long".into()),
-                Some(_) => return Err("over-long".into()),
-                None => {}
+            if let Some(line) = self.ring.take_line() {
+                return match line.len() <= longest {
+                    true => Ok(Some(line)),
+                    false => Err("over-long".into()),
+                };
             }
-            if self.stream.readable().await.is_err() {
-                return Ok(None);
+            if self.ring.len() > longest {
+                return Err("over-long".into());
             }
-            match skip_block(self.ring.read_from(&self.stream, |_| {})) {
-                Ok(Some(0)) if self.ring.is_empty() => return Ok(None),
-                Ok(Some(0)) => return Err("half a line".into()),
-                Err(_) => return Ok(None),
+            match self.ring.fill(&self.stream).await {
+                Ok(0) if !self.ring.is_empty() => return Err("half a line".into()),
+                Ok(0) | Err(_) => return Ok(None),
                 Ok(_) => {}
             }
         }
@@ -175,29 +174,17 @@
     /// Returns when the client has ended its side; reads on meanwhile, as far as there is room.
     pub async fn left(&mut self) {
         while self.ring.free() > 0 {
-            if self.stream.readable().await.is_err() {
+            if let Ok(0) | Err(_) = self.ring.fill(&self.stream).await {
                 return;
             }
-            match skip_block(self.ring.read_from(&self.stream, |_| {})) {
-                Ok(Some(0)) | Err(_) => return,
-                Ok(_) => {}
-            }
         }
         std::future::pending().await
     }
 
     /// Writes a line; false if the client does not take it.
-    async fn say(&self, word: &str, limits: &Limits) -> bool {
-        let mut out = Ring::new(word.len() + 2);
-        out.push(word.as_bytes());
-        out.push(b"\r\n");
-        let write = async {
-            while !out.is_empty() {
-                self.stream.writable().await?;
-                skip_block(out.write_to(&self.stream))?;
-            }
-            std::io::Result::Ok(())
-        };
+    async fn say(&mut self, word: &str, limits: &Limits) -> bool {
+        let line = format!("{word}\r\n");
+        let write = self.stream.write_all(line.as_bytes());
         matches!(timeout(limits.farewell, write).await, Ok(Ok(())))
     }
 
@@ -211,17 +198,13 @@
     }
 
     pub async fn farewell(&mut self, limits: &Limits) {
-        let _ = tokio::io::AsyncWriteExt::shutdown(&mut self.stream).await;
+        let _ = self.stream.shutdown().await;
         let drain = async {
             loop {
                 self.ring.truncate(0);
-                if self.stream.readable().await.is_err() {
+                if let Ok(0) | Err(_) = self.ring.fill(&self.stream).await {
                     return;
                 }
-                match skip_block(self.ring.read_from(&self.stream, |_| {})) {
-                    Ok(Some(0)) | Err(_) => return,
-                    Ok(_) => {}
-                }
             }
         };
         let _ = timeout(limits.farewell, drain).await;
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)] // each test file uses its part
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -613,10 +613,3 @@
     let host = Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 64, id as u8, count);
     (host, 3000).into()
 }
-
-/// Reads all that is left on a raw stream.
-pub fn rest(mut stream: &TcpStream) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    let _ = stream.read_to_end(&mut bytes);
-    bytes
-}
