SIGHUP rereads the configuration and moves the watch to the new discovery

Nothing caught the signal, and discovery's address was read once (main.rs, discovery.rs). Now reload.rs catches it first of all, rereads the file (a bad one is logged and left), and tells discovery's task the address over a watch channel. That leaves the old connection and call at once and asks the new address for the whole list, with its own version and back-off (0.4 s at most until its first answer).

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,14 +1,17 @@
-//! What the environment and the configuration file tell a proxy at its start.
+//! What the environment and the configuration file tell a proxy at its start, and at a reload.
 
 use std::collections::BTreeMap;
 use std::env;
-use std::fs;
+use std::fs::File;
+use std::io::Read;
 use std::net::SocketAddr;
 
 use serde_json::Value;
 use violetwind_balancer::api::{Secs, Settings};
 use violetwind_common::{Facts, Names, settings};
 
+use crate::limits::Limits;
+
 #[derive(Debug)]
 pub struct Config {
     pub name: String,
@@ -17,8 +20,8 @@
     pub seed: u64,
     pub sockets: u64,
     pub memory_mb: u64,
-    /// The list of servers as it was last known, in discovery's form.
-    pub known: Value,
+    /// The file as it was read.
+    file: Value,
     pub settings: Settings,
     pub names: Names,
     pub connect_timeout: Option<Secs>,
@@ -88,12 +91,42 @@
 impl Config {
     /// Reads the file that `NODE_CONFIG` names; the other variables go before what it says.
     pub fn from_env() -> Result<Self, String> {
-        let path = env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_string())?;
-        let text = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+        Self::read(|name| env::var(name).ok().filter(|value| !value.is_empty()))
+    }
+
+    /// Reads the file anew. Its address of discovery is newer than the variable of the start.
+    pub fn again() -> Result<Self, String> {
         let over = |name: &str| env::var(name).ok().filter(|value| !value.is_empty());
+        Self::read(|name| over(name).filter(|_| name != "NODE_DISCOVERY"))
+    }
+
+    fn read(over: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let path = env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG is not set".to_string())?;
+        let text = read_file(&path).map_err(|error| format!("{path}: {error}"))?;
         Self::parse(&text, over).map_err(|error| format!("{path}: {error}"))
     }
 
+    /// The list of servers as it was last known, in discovery's form.
+    pub fn known(&self) -> &Value {
+        &self.file["known"]
+    }
+
+    /// The parts of another file that differ and that only a restart takes up. The seed and the
+    /// known list are for a start alone, and discovery is what a reload is for.
+    pub fn restart_needed<'a>(&'a self, other: &'a Self) -> Vec<&'a str> {
+        let fields = |config: &'a Self| config.file.as_object().into_iter().flat_map(|o| o.keys());
+        let mut names: Vec<&str> = fields(self)
+            .chain(fields(other))
+            .map(String::as_str)
+            .collect();
+        names.sort_unstable();
+        names.dedup();
+        names.retain(|name| {
+            !["discovery", "known", "seed"].contains(name) && self.file[*name] != other.file[*name]
+        });
+        names
+    }
+
     fn parse(text: &str, over: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let json: Value = serde_json::from_str(text).map_err(|error| error.to_string())?;
         let text = |key: &str| {
@@ -131,7 +164,6 @@
                 .map_err(|_| format!("seed `{seed}`: expected 16 hex digits"))?,
             sockets: limit("sockets")?,
             memory_mb: limit("memory_mb")?,
-            known: json["known"].clone(),
             connect_timeout: time("permissions.connect-timeout-s")?,
             longest_deadline: deadlines.iter().copied().fold(0.5, f64::max),
             deadlines,
@@ -143,10 +175,28 @@
             tells_delay: flat.flag("family-info.tells-delay")?,
             settings,
             names,
+            file: json,
         })
     }
 }
 
+/// A file that is none, or has no end, must neither hang the program nor fill its memory.
+fn read_file(path: &str) -> Result<String, String> {
+    let text = |error: std::io::Error| error.to_string();
+    if !std::fs::metadata(path).map_err(text)?.is_file() {
+        return Err("no ordinary file".into());
+    }
+    let (mut read, most) = (String::new(), Limits::CONFIG_BYTES);
+    let file = File::open(path).map_err(text)?;
+    file.take(most + 1)
+        .read_to_string(&mut read)
+        .map_err(text)?;
+    match read.len() as u64 <= most {
+        true => Ok(read),
+        false => Err(format!("more than {most} bytes")),
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -182,6 +232,20 @@
         assert_eq!(config.listen, "127.0.0.9:1".parse().unwrap());
     }
 
+    /// A reload says what it leaves as it was, and says nothing of what a start alone reads.
+    #[test]
+    fn what_a_reload_can_not_apply_is_named() {
+        let old = parse(GOOD).unwrap();
+        let other = GOOD
+            .replace("127.0.0.1:8500", "127.0.0.1:8600")
+            .replace("00000000000000ff", "00000000000000fe")
+            .replace("\"memory_mb\":192", "\"memory_mb\":64")
+            .replace("\"n0\"", "\"n1\"");
+        let new = parse(&other).unwrap();
+        assert_eq!(old.restart_needed(&new), ["limits", "name"]);
+        assert!(old.restart_needed(&old).is_empty());
+    }
+
     /// A proxy that starts on half a configuration would serve by made-up limits.
     #[test]
     fn a_bad_configuration_is_told_by_name() {
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -11,13 +11,13 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 use violetwind_balancer::api::{ListKind, Status};
 use violetwind_common::{Row, server_id};
 
-use crate::config::Config;
 use crate::driver::Notice;
 use crate::limits::Limits;
 
@@ -89,9 +89,21 @@
 
 /// One connection to discovery, kept from call to call.
 struct Client {
-    config: Rc<Config>,
+    address: SocketAddr,
     limits: Rc<Limits>,
-    sender: Option<SendRequest<Empty<Bytes>>>,
+    connection: Option<Connection>,
+}
+
+/// Ends its connection when it is dropped, whatever call is under way.
+struct Connection {
+    sender: SendRequest<Empty<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
 }
 
 impl Client {
@@ -100,16 +112,18 @@
         let answer = timeout(within, self.call(path)).await;
         let answer = answer.unwrap_or_else(|_| Err("no answer in time".into()));
         if answer.is_err() {
-            self.sender = None;
+            self.connection = None;
         }
         answer
     }
 
     async fn call(&mut self, path: &str) -> Result<List, String> {
         let text = |error: hyper::Error| error.to_string();
-        if self.sender.as_ref().is_none_or(|sender| sender.is_closed()) {
+        let closed = |connection: &Connection| connection.sender.is_closed();
+        if self.connection.as_ref().is_none_or(closed) {
+            self.connection = None;
             // A connection that never comes up must not cost the time of a whole watch.
-            let connect = TcpStream::connect(self.config.discovery);
+            let connect = TcpStream::connect(self.address);
             let connect = timeout(self.limits.discovery_connect, connect).await;
             let stream = connect
                 .map_err(|_| "never comes up".to_string())?
@@ -117,16 +131,19 @@
             let _ = stream.set_nodelay(true);
             let (sender, connection) =
                 http1::handshake(TokioIo::new(stream)).await.map_err(text)?;
-            // It ends with its sender or with the connection; each call hears of an error itself.
-            tokio::task::spawn_local(async move {
+            // Each call hears of an error itself.
+            let task = tokio::task::spawn_local(async move {
                 let _ = connection.await;
             });
-            self.sender = Some(sender);
+            self.connection = Some(Connection {
+                sender,
+                task: task.abort_handle(),
+            });
         }
-        let sender = self.sender.as_mut().ok_or("not connected")?;
+        let sender = &mut self.connection.as_mut().ok_or("not connected")?.sender;
         sender.ready().await.map_err(text)?;
         let request = Request::get(path)
-            .header(hyper::header::HOST, self.config.discovery.to_string())
+            .header(hyper::header::HOST, self.address.to_string())
             .body(Empty::new())
             .map_err(|error| error.to_string())?;
         let response = sender.send_request(request).await.map_err(text)?;
@@ -140,16 +157,36 @@
     }
 }
 
-/// Watches the list for good. The next call goes out as soon as an answer is read; after a failure
-/// the last list stays and the next call waits, longer each time and by chance, so that proxies
-/// that lost discovery together don't come back together.
-pub async fn watch(config: Rc<Config>, limits: Rc<Limits>, driver: mpsc::Sender<Notice>) {
+/// Watches the list for good, at the address that a reload names last. A new address starts anew:
+/// the old connection and its call end at once, and versions of the old list mean nothing there.
+pub async fn watch(
+    mut address: watch::Receiver<SocketAddr>,
+    limits: Rc<Limits>,
+    driver: mpsc::Sender<Notice>,
+) {
+    loop {
+        let at = *address.borrow_and_update();
+        tokio::select! {
+            () = follow(at, &limits, &driver) => return,
+            changed = address.changed() => match changed {
+                Ok(()) => info!(from = %at, "discovery has moved: the whole list is asked there"),
+                Err(_) => return,
+            },
+        }
+    }
+}
+
+/// Watches the list at one address. The next call goes out as soon as an answer is read; after a
+/// failure the last list stays and the next call waits, longer each time and by chance, so that
+/// proxies that lost discovery together don't come back together.
+async fn follow(address: SocketAddr, limits: &Rc<Limits>, driver: &mpsc::Sender<Notice>) {
     let mut client = Client {
-        config,
+        address,
         limits: limits.clone(),
-        sender: None,
+        connection: None,
     };
     let mut version = None;
+    let mut answered = false;
     let mut backoff = limits.backoff;
     loop {
         let wait = limits.watch_wait.as_millis();
@@ -167,6 +204,7 @@
         };
         match answer {
             Ok(list) => {
+                answered = true;
                 backoff = limits.backoff;
                 // A version that goes back, or changes to a list never had, can't be applied.
                 let fits = list.whole || version.is_some_and(|version| list.version >= version);
@@ -209,7 +247,11 @@
                     return;
                 }
                 sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
-                backoff = (backoff * 2).min(limits.backoff_most);
+                let most = match answered {
+                    true => limits.backoff_most,
+                    false => limits.backoff_fresh.min(limits.backoff_most),
+                };
+                backoff = (backoff * 2).min(most);
             }
         }
     }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -151,7 +151,7 @@
     /// Runs for as long as the proxy does.
     pub async fn run(mut self) {
         self.handle(Event::Start);
-        match discovery::read_list(&self.config.known, &self.limits) {
+        match discovery::read_list(self.config.known(), &self.limits) {
             Ok(list) => self.list(ListKind::Restored, list.rows),
             Err(error) => warn!(%error, "no list from the last run"),
         }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -69,6 +69,8 @@
     /// Waits between failed calls of discovery: the first, doubled up to the longest.
     pub backoff: Duration,
     pub backoff_most: Duration,
+    /// The same before the first answer from an address: the new one of a reload may be slow to start.
+    pub backoff_fresh: Duration,
     /// Without any word from discovery the list of the last run must do.
     pub list_wait: Duration,
 
@@ -86,6 +88,9 @@
 }
 
 impl Limits {
+    /// The longest file of the configuration, which is read before there are any other limits.
+    pub const CONFIG_BYTES: u64 = 8 << 20;
+
     pub fn new(config: &Config) -> Self {
         let ms = Duration::from_millis;
         let secs = |secs: Secs| Duration::from_secs_f64(secs.clamp(0.01, 3600.0));
@@ -129,6 +134,7 @@
             watch_slack: secs(0.2 * ask_within),
             backoff: ms(100),
             backoff_most: secs(0.2 * ask_within),
+            backoff_fresh: ms(400),
             list_wait: ms(3000),
             drain_wait: ms(700),
             drain_span: ms(800),
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -15,6 +15,7 @@
 mod notes;
 mod probe;
 mod relay;
+mod reload;
 mod ring;
 mod route;
 mod send;
@@ -73,6 +74,8 @@
 }
 
 async fn serve(config: Rc<Config>) -> io::Result<()> {
+    // First of all: a signal that nobody catches kills the program.
+    let (reload, discovery) = reload::Reload::new(config.clone())?;
     let limits = Rc::new(Limits::new(&config));
     let descriptors = Descriptors::new(limits.descriptors);
     let listener = TcpListener::bind(config.listen)
@@ -92,7 +95,9 @@
     );
     let shared = Shared::new(&config, &limits, &descriptors, notices.clone(), is_ready);
     let driver = tokio::task::spawn_local(driver.run());
-    tokio::task::spawn_local(discovery::watch(config, limits.clone(), notices.clone()));
+    let watch = discovery::watch(discovery, limits.clone(), notices.clone());
+    tokio::task::spawn_local(watch);
+    tokio::task::spawn_local(reload.run());
     tokio::task::spawn_local(take_in::accept(listener, shared));
     tokio::select! {
         ended = shutdown::wait(limits, descriptors, notices) => ended,
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -457,10 +457,15 @@
             "settings": settings(),
         });
         change(&mut config);
-        Self::run(addr, &config.to_string())
+        Self::run_with(addr, &config.to_string(), Some(discovery))
     }
 
     pub fn run(addr: SocketAddr, config: &str) -> Self {
+        Self::run_with(addr, config, None)
+    }
+
+    /// Started with discovery's address in the environment too.
+    pub fn run_with(addr: SocketAddr, config: &str, discovery: Option<SocketAddr>) -> Self {
         static COUNT: AtomicU32 = AtomicU32::new(0);
         let number = COUNT.fetch_add(1, Ordering::Relaxed);
         let name = format!("violetwind-test-{}-{number}", std::process::id());
@@ -472,6 +477,7 @@
             .env("NODE_CONFIG", &path)
             .env_remove("NODE_LISTEN")
             .env_remove("NODE_DISCOVERY")
+            .envs(discovery.map(|at| ("NODE_DISCOVERY", at.to_string())))
             .env_remove("NODE_NAME")
             .stdin(Stdio::null())
             .stderr(Stdio::piped())
@@ -553,6 +559,26 @@
         assert!(!timeout.timed_out(), "`{text}` is not in the log:\n{log}");
     }
 
+    /// Changes the file of the configuration and tells the program.
+    pub fn reload(&self, change: impl FnOnce(&mut Value)) {
+        let text = std::fs::read_to_string(self.dir.join("config.json")).unwrap();
+        let mut config = serde_json::from_str(&text).unwrap();
+        change(&mut config);
+        self.reload_text(&config.to_string());
+    }
+
+    /// The same with any text, which takes the old file's place in one step.
+    pub fn reload_text(&self, text: &str) {
+        let new = self.dir.join("new.json");
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(&new, self.dir.join("config.json")).unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn config_text(&self) -> String {
+        std::fs::read_to_string(self.dir.join("config.json")).unwrap()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").args([name, &id]).status().unwrap();
--- /dev/null
+++ b/crates/proxy/tests/reload.rs
@@ -0,0 +1,205 @@
+//! SIGHUP: the configuration's file names another discovery, under load and more than once.
+
+mod common;
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use common::{Discovery, End, Mood, Peer, Proxy, Server, one_server};
+use serde_json::{Value, json};
+
+/// What discovery has to tell counts as told so long after the signal.
+const TOLD: Duration = Duration::from_secs(4);
+
+fn to(discovery: SocketAddr) -> impl FnOnce(&mut Value) {
+    move |config| config["discovery"] = json!(discovery.to_string())
+}
+
+/// A call of discovery, played by hand: its path.
+fn call(peer: &mut Peer) -> String {
+    let line = peer.hear();
+    while !peer.hear().is_empty() {}
+    line.split(' ').nth(1).unwrap().to_string()
+}
+
+/// Two servers, each known to one discovery alone, and a proxy that has the first.
+fn two_discoveries() -> (Server, Server, Discovery, Discovery, Proxy) {
+    let (server, discovery, proxy) = one_server();
+    let other = Server::start("s-2");
+    // The new list's version is below the old one's: it must not be taken for old news.
+    discovery.tell(server.target("ready"));
+    discovery.tell(server.target("ready"));
+    let new = Discovery::start(&[other.target("ready")]);
+    (server, other, discovery, new, proxy)
+}
+
+/// The old address was given in the environment too; the file is newer.
+#[test]
+fn the_new_address_is_asked_for_the_whole_list() {
+    let (server, other, _old, new, proxy) = two_discoveries();
+    // Lists that differ in nothing that is in use are no news to those who use it.
+    new.tell(server.target("ready"));
+    let (mut client, mut conn) = proxy.up(&server);
+    proxy.reload(to(new.addr));
+    let calls = new.calls(2);
+    assert_eq!(calls[0].1, "/registry/instances");
+    assert!(calls[1].1.contains("after=2&"), "{}", calls[1].1);
+    client.say("SAY on");
+    assert_eq!(conn.hear(), "SAY on");
+    conn.say("OK on");
+    assert_eq!(client.hear(), "OK on");
+    // Changes are heard there from now on.
+    new.tell(server.target("draining"));
+    assert_eq!(client.hear(), "MOVE");
+    let mut client = proxy.open("watch");
+    other.opened().1.say("UP 2");
+    assert_eq!(client.hear(), "UP 2");
+}
+
+/// The old address closes soon: a watch that stays there would hear nothing more, and no error.
+#[test]
+fn the_old_connection_and_its_watch_end_at_once() {
+    let server = Server::start("s-1");
+    let new = Discovery::start(&[server.target("ready")]);
+    let old = TcpListener::bind("127.0.0.1:0").unwrap();
+    let proxy = Proxy::launch(old.local_addr().unwrap(), |_| {});
+    let mut peer = Peer::new(old.accept().unwrap().0);
+    assert_eq!(call(&mut peer), "/registry/instances");
+    let body = json!({"rev": 7, "all": true, "targets": [server.target("ready")]}).to_string();
+    let length = body.len();
+    peer.send(format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}").as_bytes());
+    assert!(call(&mut peer).contains("after=7&"));
+    let at = Instant::now();
+    proxy.reload(to(new.addr));
+    assert!(matches!(peer.try_hear(), Err(End::Closed | End::Reset)));
+    assert!(at.elapsed() < Duration::from_secs(1));
+    assert_eq!(new.calls(1)[0].1, "/registry/instances");
+    // Nobody comes back to the old one.
+    old.set_nonblocking(true).unwrap();
+    new.calls(2);
+    assert!(old.accept().is_err());
+}
+
+/// A back-off that had grown long at the old address must not delay the first call at the new one,
+/// and failures there at first must not let it grow past the time that a reload has.
+#[test]
+fn a_new_address_that_is_slow_at_first_is_asked_again_in_time() {
+    for mood in [Mood::Refuses, Mood::Resets] {
+        let (_server, other, old, new, proxy) = two_discoveries();
+        let before = old.calls(2).len();
+        old.set_mood(Mood::Refuses);
+        old.calls(before + 4);
+        new.set_mood(mood);
+        let at = Instant::now();
+        proxy.reload(to(new.addr));
+        let first = new.calls(1)[0].0;
+        assert!(first - at < Duration::from_secs(1), "{:?}", first - at);
+        new.calls(6);
+        new.set_mood(Mood::Works);
+        // The call after the first good answer is a watch.
+        while !new.calls(0).iter().any(|(_, path)| path.contains("after=")) {
+            new.calls(new.calls(0).len() + 1);
+        }
+        assert!(at.elapsed() < TOLD, "{mood:?} {:?}", at.elapsed());
+        let mut client = proxy.open("watch");
+        other.opened().1.say("UP 3");
+        assert_eq!(client.hear(), "UP 3");
+    }
+}
+
+#[test]
+fn a_bad_file_leaves_all_as_it_was() {
+    let (server, other, old, new, proxy) = two_discoveries();
+    let good = proxy.config_text();
+    let bad = [
+        "",
+        "{",
+        "[]",
+        &good.replace("\"seed\"", "\"sead\""),
+        &good.replace("\"pure\"", "\"often\""),
+        &good.replace(&old.addr.to_string(), "nowhere"),
+    ];
+    for (number, text) in bad.into_iter().enumerate() {
+        proxy.reload_text(text);
+        let told = "the configuration stays as it was";
+        let until = Instant::now() + Duration::from_secs(10);
+        while proxy.log().matches(told).count() <= number {
+            assert!(
+                Instant::now() < until,
+                "bad file {number}:\n{}",
+                proxy.log()
+            );
+            assert!(proxy.pong());
+        }
+        proxy.up(&server);
+    }
+    // The old watch goes on as if nothing had been.
+    let seen = old.calls(1).len();
+    old.tell(server.target("ready"));
+    assert!(old.calls(seen + 1)[seen].1.contains("after="));
+    proxy.reload_text(&good.replace(&old.addr.to_string(), &new.addr.to_string()));
+    new.calls(1);
+    let mut client = proxy.open("watch");
+    other.opened().1.say("UP 2");
+    assert_eq!(client.hear(), "UP 2");
+}
+
+#[test]
+fn the_same_address_keeps_its_watch_and_other_changes_are_named() {
+    let (server, discovery, proxy) = one_server();
+    let seen = discovery.calls(2).len();
+    proxy.reload(|config| {
+        config["limits"]["sockets"] = json!(300);
+        config["seed"] = json!("00000000000000ff");
+    });
+    proxy.logged("these changes need a restart restart=[\"limits\"]");
+    proxy.logged("moved=false");
+    proxy.up(&server);
+    assert_eq!(discovery.calls(0).len(), seen);
+}
+
+/// Signals while clients come and talk, faster than they can be served: none of them notices.
+#[test]
+fn reloads_in_a_row_under_load_lose_nothing() {
+    let server = Server::start("s-1");
+    let discoveries = [0, 1].map(|_| Discovery::start(&[server.target("ready")]));
+    let mut proxy = Proxy::start(&discoveries[0]);
+    let mut pairs: Vec<(Peer, Peer)> = Vec::new();
+    for turn in 0..20 {
+        proxy.reload(to(discoveries[turn % 2].addr));
+        let mut client = proxy.open("watch");
+        proxy.signal("-HUP");
+        let (_, mut conn) = server.opened();
+        conn.say("UP 1");
+        assert_eq!(client.hear(), "UP 1");
+        pairs.push((client, conn));
+        for (client, conn) in &mut pairs {
+            client.say("SAY on");
+            assert_eq!(conn.hear(), "SAY on");
+            conn.say("OK on");
+            assert_eq!(client.hear(), "OK on");
+        }
+    }
+    assert!(proxy.alive());
+    // The last one named is the one that is watched.
+    let last = &discoveries[1];
+    let seen = last.calls(1).len();
+    last.tell(server.target("draining"));
+    last.calls(seen + 1);
+    for (client, _) in &mut pairs {
+        assert_eq!(client.hear(), "MOVE");
+    }
+}
+
+#[test]
+fn a_reload_during_a_shutdown_changes_nothing_of_it() {
+    let (server, _other, _old, new, mut proxy) = two_discoveries();
+    let (mut client, _conn) = proxy.up(&server);
+    proxy.signal("-TERM");
+    proxy.logged("told to end");
+    proxy.reload(to(new.addr));
+    proxy.signal("-HUP");
+    assert_eq!(client.hear(), "MOVE");
+    assert_eq!(client.end(), End::Closed);
+    assert!(proxy.ended().success());
+}
