--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -91,7 +91,8 @@
     pub drain_span: Duration,
     /// How often moves that are spread out are given out.
     pub spread_tick: Duration,
-    /// After SIGTERM: connections still come; moves spread from there to here; then the end, not
+    /// After SIGTERM: connections still come and are served; moves spread from there to here, as late as
+    /// is safe, or they come while the proxy that was restarted before is not back; then the end, not
     /// before some time has passed for the last that come.
     pub term_serve: Duration,
     pub term_moved: Duration,
@@ -160,9 +161,9 @@
             drain_wait: ms(700),
             drain_span: ms(800),
             spread_tick: ms(20),
-            term_serve: ms(450),
+            term_serve: secs((0.5 * term).max(0.45)),
             term_least: ms(750),
-            term_moved: secs((0.65 * term).max(0.8)),
+            term_moved: secs(term.max(0.8)),
             term_exit: secs(term + 0.45),
         }
     }
