After a restart guessed loads follow the first ones told, and all servers are probed

While no load is known each connection counts as 1; those that never tell theirs (37 of 63) kept that beside 0.03 of the others, and the units, learned on the old scale, made a placement add a tenth of what it does. Probing all looked dear at the start, when no request had come, and was not looked at again; a server that answered ERR to a single ask stayed out for good. Lines at fault: adopt, on_load in state.rs; worth_probing asked only in on_list and place; relieve moved one a round whatever the excess. Now rescale() carries loads, pending and units over to the told scale (first 16 told); every answer to a probe looks for servers to probe; past DROWNING the excess goes at once also where others have room.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -21,7 +21,7 @@
 const SCARCE: f64 = 0.7;
 /// The part of `THRESHOLD` that is kept from what is worth nothing for its load.
 const LESS_ROOM: f64 = 0.1;
-/// Load over capacity beyond which connections go even if there is no room for them elsewhere.
+/// Load over capacity beyond which connections go at once, even if there is no room for them elsewhere.
 const DROWNING: f64 = 0.93;
 /// What moves at once over what a figure shows to be too much: it is late.
 const HASTE: f64 = 2.0;
@@ -137,10 +137,7 @@
                 self.wait_timer = false;
                 self.place_waiting(None, out);
             }
-            Event::Timer(token) if token >= TIMER_PROBE => {
-                self.on_probe_timer((token - TIMER_PROBE) as ServerId, out);
-            }
-            Event::Timer(_) => {}
+            Event::Timer(token) => self.on_probe_timer(token as ServerId, out),
         }
     }
 
@@ -245,6 +242,10 @@
         if in_round && outcome == Outcome::Ok {
             self.relieve(id, out);
         }
+        // Requests make probes affordable, and failures needed, after the list has come.
+        for id in self.state.servers.keys().copied().collect::<Vec<_>>() {
+            self.start_probing(id, out);
+        }
     }
 
     /// Takes the figure of a report, in the design's metric order.
@@ -484,8 +485,7 @@
     /// A server's load with the request on it, and with what its group then costs there: the probed
     /// figure, and own placements since, with as many by each peer that is taken to place here too.
     fn load_after(&self, conn: &Conn, server: &Server, crowd: f64) -> f64 {
-        let pending: f64 = server.pending.iter().map(|(_, load)| load).sum();
-        let added = pending * crowd + conn.load + self.group_load(conn, server);
+        let added = server.pending_load() * crowd + conn.load + self.group_load(conn, server);
         let figure = server.figure_since(self.state.now - FORGOTTEN);
         figure.unwrap_or(self.state.mean_figure) + added * self.state.unit_of(server)
     }
@@ -541,10 +541,9 @@
 
     // Moves.
 
-    /// Moves a connection off a server that its probe shows past the threshold, the one worth least
-    /// for its load, where another server has room for it. With no room anywhere, a server past its
-    /// capacity serves nobody well: there this balancer's part of the excess goes, and comes again
-    /// to be placed or refused.
+    /// Moves the connection worth least for its load off a server that its probe shows past the threshold,
+    /// where another has room for it. One close to its capacity serves nobody well: there this balancer's
+    /// part of the excess goes, room or not, and comes again to be placed or refused.
     fn relieve(&mut self, id: ServerId, out: &mut Vec<Action>) {
         let by_load = self.set.report_fields.contains(&Field::Load);
         let by_count = COUNT_TRIGGER * self.state.mean_figure;
@@ -569,11 +568,12 @@
         let servers = self.state.first_of(key, CANDIDATES);
         let mut servers = servers.map(|(_, id)| &self.state.servers[&id]);
         let room = servers.any(|s| self.open(s) && !s.suspect && fits(s));
-        let (most, limit) = match room {
-            true => (1, limit),
-            false if by_load && load_now > DROWNING => (own.len(), DROWNING),
-            false => return,
-        };
+        let many = by_load && load_now > DROWNING;
+        if !room && !many {
+            return;
+        }
+        let limit = if room { limit } else { DROWNING };
+        let most = if many { own.len() } else { 1 };
         // Peers see the same figure: all together should move what is over, not each of them.
         let mut part = HASTE * own_part * (load_now - limit);
         for id in own.into_iter().take(most) {
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -23,6 +23,9 @@
     pub relative_size: f64,
 }
 
+/// Loads told that are too few to know what is usual.
+const FEW: f64 = 16.0;
+
 /// So long a placement is kept that no report has ended.
 const FORGOTTEN: Secs = 20.0;
 
@@ -66,6 +69,10 @@
         self.pending.push((now, load));
     }
 
+    pub fn pending_load(&self) -> f64 {
+        self.pending.iter().map(|(_, load)| load).sum()
+    }
+
     /// Whether a probe was answered, or sent for a request, since then.
     pub fn heard_since(&self, then: Secs) -> bool {
         self.heard_at.is_some_and(|at| at >= then)
@@ -118,6 +125,7 @@
     pub may_have_run: Option<(ServerId, Secs)>,
     /// Its load in seconds of work a second: as last told, or else as usual for its class.
     pub load: f64,
+    pub told: bool,
 }
 
 #[derive(Debug)]
@@ -395,6 +403,7 @@
                 .hint
                 .filter(|hint| hint.is_finite() && *hint >= 0.0)
                 .unwrap_or_else(|| self.class_load(request.class)),
+            told: false,
             request,
         };
         self.conns.insert(id, conn);
@@ -416,7 +425,9 @@
             return;
         };
         let change = load - conn.load;
-        conn.load = load;
+        (conn.load, conn.told) = (load, true);
+        let usual = self.told(&self.loads);
+        let conn = &self.conns[&id];
         let (sum, number) = &mut self.loads[conn.request.class];
         sum.add(self.now, MEMORY, load);
         number.add(self.now, MEMORY, 1.0);
@@ -424,6 +435,34 @@
             self.load += change;
             self.server(server, |server| server.load += change);
         }
+        if usual.1 < FEW {
+            let before = if usual.0 > 0.0 {
+                usual.0 / usual.1
+            } else {
+                1.0
+            };
+            self.rescale(self.usual_load() / before);
+        }
+    }
+
+    /// The first loads told set the scale of those that were only guessed. Left as they were, a few
+    /// connections that never tell theirs would outweigh all others after a restart.
+    fn rescale(&mut self, by: f64) {
+        for (id, conn) in self.conns.iter_mut().filter(|(_, conn)| !conn.told) {
+            let change = conn.load * (by - 1.0);
+            conn.load += change;
+            if let Phase::Out(server) | Phase::Open(server) = conn.phase {
+                debug_assert!(self.servers[&server].own.contains(id));
+                self.load += change;
+                self.servers.entry(server).or_default().load += change;
+            }
+        }
+        for server in self.servers.values_mut() {
+            server.pending.iter_mut().for_each(|(_, load)| *load *= by);
+        }
+        for unit in self.units.values_mut().flatten() {
+            *unit /= by;
+        }
     }
 
     pub fn join(&mut self, id: RequestId, to: ServerId, phase: Phase) {
--- a/crates/balancer/tests/failures.rs
+++ b/crates/balancer/tests/failures.rs
@@ -402,3 +402,59 @@
         bench.finish(id, server, Outcome::Ok, true);
     }
 }
+
+/// After a restart no load is known. Connections that never told theirs kept a made-up one far above
+/// what the others told, so that those seemed to add nothing: one server got all of a fleet's clients.
+#[test]
+fn the_first_loads_told_set_the_scale_of_all() {
+    let mut bench = Bench::new(settings(), vec![entry(1)], 3);
+    bench.report(1, 0.0);
+    let mut held = 0;
+    for id in 0..200 {
+        let actions = bench.on(Event::Request(Request {
+            hint: None,
+            ..request(id)
+        }));
+        let Some(server) = sent_to(&actions, id) else {
+            continue;
+        };
+        held += 1;
+        bench.on(Event::Begun(id, server));
+        // One in three tells its load, and that is small.
+        if id % 3 == 2 {
+            bench.on(Event::LoadNote(id, 0.02));
+        }
+    }
+    assert!(
+        (20..=60).contains(&held),
+        "{held} connections on one server"
+    );
+}
+
+/// Before any request came probes seemed dear, and a proxy that restarted asked only the servers it
+/// already used: others stayed idle beside a full one.
+#[test]
+fn all_servers_are_probed_once_requests_make_that_affordable() {
+    let mut set = settings();
+    set.price_probe = 0.002;
+    let mut bench = Bench::new(set, (1..=5).map(entry).collect(), 3);
+    let mut actions = bench.on_alone(Event::Request(request(1)));
+    let mut probed = std::collections::BTreeSet::new();
+    while let Some(action) = actions.pop() {
+        if let Action::Probe(server) = action {
+            probed.insert(server);
+            actions.extend(bench.on_alone(Event::Probed(server, Outcome::Ok, load(0.1))));
+        }
+    }
+    assert_eq!(probed.into_iter().collect::<Vec<_>>(), [1, 2, 3, 4, 5]);
+}
+
+/// A server that was filled far past its capacity by late reports shed one connection a second.
+#[test]
+fn a_drowned_server_sheds_its_excess_at_once_where_others_have_room() {
+    let mut bench = Bench::new(settings(), vec![entry(1), entry(2)], 3);
+    bench.open(1, 1000, &[0.1; 20]);
+    bench.report(2, 0.1);
+    let moved = moved(&bench.report(1, 1.2)).len();
+    assert!((5..18).contains(&moved), "{moved} moved");
+}
