--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -213,6 +213,13 @@
         Config::parse(text, |_| None)
     }
 
+    impl Config {
+        /// A sound configuration, for tests of what runs by one.
+        pub fn for_tests() -> Self {
+            parse(GOOD).unwrap()
+        }
+    }
+
     #[test]
     fn nested_settings_reach_the_module_by_their_flat_names() {
         let config = parse(GOOD).unwrap();
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -87,12 +87,17 @@
     /// What the server answers, or how it does not.
     async fn probe(&mut self, endpoint: SocketAddr) -> Result<Word, Outcome> {
         let until = Instant::now() + self.limits.probe;
-        // A kept connection may have ended since; that says nothing about the server.
-        if let Some((at, mut stream, permit)) = self.kept.take().filter(|kept| kept.0 == endpoint)
-            && let Ok(Ok(word)) = timeout_at(until, self.ask(&mut stream)).await
-        {
-            self.kept = Some((at, stream, permit));
-            return Ok(word);
+        if let Some((at, mut stream, permit)) = self.kept.take().filter(|kept| kept.0 == endpoint) {
+            match timeout_at(until, self.ask(&mut stream)).await {
+                Ok(Ok(word)) => {
+                    self.kept = Some((at, stream, permit));
+                    return Ok(word);
+                }
+                // It may have ended since; that says nothing about the server.
+                Ok(Err(_)) => {}
+                // The time is over: a fresh one would seem not to come up. The next probe has one.
+                Err(_) => return Err(Outcome::TimedOut),
+            }
         }
         let Some(permit) = self.descriptors.take(1) else {
             return Err(Outcome::NotSent);
@@ -131,3 +136,47 @@
         Err(outcome) => (outcome, Report::default()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::net::TcpListener;
+
+    use super::*;
+    use crate::config::Config;
+
+    /// A server that fell silent on a kept connection used to be told as one that can't be reached,
+    /// as its time was over before the fresh try began.
+    #[test]
+    fn silence_on_a_kept_connection_is_a_time_out_and_the_next_probe_is_fresh() {
+        let runtime = tokio::runtime::Builder::new_current_thread();
+        let runtime = { runtime }.enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let at = listener.local_addr().unwrap();
+            let limits = Rc::new(Limits::new(&Config::for_tests()));
+            let mut prober = Prober {
+                server: 1,
+                descriptors: Descriptors::new(2),
+                limits: limits.clone(),
+                question: b"PING\r\n",
+                kept: None,
+            };
+            let (word, mut server) = tokio::join!(prober.probe(at), pong(&listener));
+            assert_eq!(word.unwrap(), Word::Pong(Report::default()));
+            assert_eq!(prober.probe(at).await.unwrap_err(), Outcome::TimedOut);
+            let (word, _) = tokio::join!(prober.probe(at), pong(&listener));
+            assert_eq!(word.unwrap(), Word::Pong(Report::default()));
+            // The first one was given up.
+            let mut ring = Ring::new(64);
+            assert_eq!(ring.first_line(&server).await.unwrap(), b"PING");
+            server.shutdown().await.unwrap();
+        });
+    }
+
+    async fn pong(listener: &TcpListener) -> TcpStream {
+        let (mut server, _) = listener.accept().await.unwrap();
+        assert_eq!(Ring::new(64).first_line(&server).await.unwrap(), b"PING");
+        server.write_all(b"PONG\r\n").await.unwrap();
+        server
+    }
+}
