The change read once more: one count of descriptors, one usual load, no walks for nothing

first_lines counted its descriptors in a cell of its own beside Descriptors and Permit; it holds those now. on_load worked the usual load out anew; it calls usual_load. Every answered probe copied the list of all servers; state.unprobed() names only those not probed. The environment is looked up in one place in config.rs, and tests set up a proxy without loads in one place.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -100,7 +100,6 @@
     pub fn handle(&mut self, now: Secs, event: Event, out: &mut Vec<Action>) {
         self.state.now = now;
         match event {
-            Event::Start | Event::DelayNote(..) => {}
             Event::Servers(kind, entries) => self.on_list(kind, entries, out),
             Event::Request(request) => {
                 let id = self.state.on_request(request);
@@ -137,7 +136,8 @@
                 self.wait_timer = false;
                 self.place_waiting(None, out);
             }
-            Event::Timer(token) => self.on_probe_timer(token as ServerId, out),
+            Event::Timer(token) if token >= TIMER_PROBE => self.on_probe_timer(token as u32, out),
+            Event::Start | Event::DelayNote(..) | Event::Timer(_) => {}
         }
     }
 
@@ -243,7 +243,7 @@
             self.relieve(id, out);
         }
         // Requests make probes affordable, and failures needed, after the list has come.
-        for id in self.state.servers.keys().copied().collect::<Vec<_>>() {
+        for id in self.state.unprobed() {
             self.start_probing(id, out);
         }
     }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -257,6 +257,12 @@
         };
     }
 
+    /// The servers that are not probed; most often there are none.
+    pub fn unprobed(&self) -> Vec<ServerId> {
+        let unprobed = self.servers.iter().filter(|(_, server)| !server.probing);
+        unprobed.map(|(id, _)| *id).collect()
+    }
+
     /// A server is asked for its figure for a request.
     pub fn ask(&mut self, server: ServerId, id: RequestId) {
         let now = self.now;
@@ -438,7 +444,7 @@
         };
         let change = load - conn.load;
         (conn.load, conn.told) = (load, true);
-        let usual = self.told(&self.loads);
+        let (few, before) = (self.told(&self.loads).1 < FEW, self.usual_load());
         let conn = &self.conns[&id];
         let (sum, number) = &mut self.loads[conn.request.class];
         sum.add(self.now, MEMORY, load);
@@ -447,12 +453,7 @@
             self.load += change;
             self.server(server, |server| server.load += change);
         }
-        if usual.1 < FEW {
-            let before = if usual.0 > 0.0 {
-                usual.0 / usual.1
-            } else {
-                1.0
-            };
+        if few {
             self.rescale(self.usual_load() / before);
         }
     }
@@ -464,9 +465,10 @@
             let change = conn.load * (by - 1.0);
             conn.load += change;
             if let Phase::Out(server) | Phase::Open(server) = conn.phase {
-                debug_assert!(self.servers[&server].own.contains(id));
+                let server = self.servers.get_mut(&server).expect("joined before");
+                debug_assert!(server.own.contains(id));
+                server.load += change;
                 self.load += change;
-                self.servers.entry(server).or_default().load += change;
             }
         }
         for server in self.servers.values_mut() {
--- a/crates/proxy/src/admit.rs
+++ b/crates/proxy/src/admit.rs
@@ -112,6 +112,7 @@
     let hint = open.figure("h")?;
     // Two with one id would be mistaken for each other by a server.
     let id = shared.open_ids.enter(open.id);
+    let id = id.ok_or("the id of another open request")?;
     let request = Request {
         id: shared.next_id(),
         class,
@@ -120,5 +121,5 @@
         hint,
         patience,
     };
-    Ok((request, id.ok_or("the id of another open request")?))
+    Ok((request, id))
 }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -91,13 +91,12 @@
 impl Config {
     /// Reads the file that `NODE_CONFIG` names; the other variables go before what it says.
     pub fn from_env() -> Result<Self, String> {
-        Self::read(|name| env::var(name).ok().filter(|value| !value.is_empty()))
+        Self::read(variable)
     }
 
     /// Reads the file anew. Its address of discovery is newer than the variable of the start.
     pub fn again() -> Result<Self, String> {
-        let over = |name: &str| env::var(name).ok().filter(|value| !value.is_empty());
-        Self::read(|name| over(name).filter(|_| name != "NODE_DISCOVERY"))
+        Self::read(|name| variable(name).filter(|_| name != "NODE_DISCOVERY"))
     }
 
     fn read(over: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
@@ -180,6 +179,11 @@
     }
 }
 
+/// A variable of the environment; an empty one says nothing.
+fn variable(name: &str) -> Option<String> {
+    env::var(name).ok().filter(|value| !value.is_empty())
+}
+
 /// A file that is none, or has no end, must neither hang the program nor fill its memory.
 fn read_file(path: &str) -> Result<String, String> {
     let text = |error: std::io::Error| error.to_string();
--- a/crates/proxy/src/first_lines.rs
+++ b/crates/proxy/src/first_lines.rs
@@ -9,7 +9,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
 
-use crate::limits::Limits;
+use crate::limits::{Descriptors, Limits, Permit};
 
 #[derive(Clone, Debug)]
 pub struct FirstLines(Rc<Places>);
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 struct Places {
     limits: Rc<Limits>,
-    held: Cell<usize>,
+    descriptors: Descriptors,
     next: Cell<u64>,
     /// By turn: those heard of longest ago first.
     waiting: RefCell<BTreeMap<u64, (Instant, AbortHandle)>>,
@@ -29,13 +29,14 @@
 pub struct Place {
     turn: u64,
     places: Rc<Places>,
+    _permit: Permit,
 }
 
 impl FirstLines {
     pub fn new(limits: &Rc<Limits>) -> Self {
         Self(Rc::new(Places {
             limits: limits.clone(),
-            held: Cell::new(0),
+            descriptors: Descriptors::new(limits.first_lines),
             next: Cell::new(0),
             waiting: RefCell::default(),
             freed: Notify::new(),
@@ -45,7 +46,14 @@
     /// A place for the next connection; the oldest goes for it, once its line has had time to come.
     pub async fn place(&self) -> Place {
         let places = &self.0;
-        while places.held.get() >= places.limits.first_lines {
+        loop {
+            if let Some(permit) = places.descriptors.take(1) {
+                return Place {
+                    turn: places.next.replace(places.next.get() + 1),
+                    places: places.clone(),
+                    _permit: permit,
+                };
+            }
             let oldest = places.oldest();
             let ripe = oldest.map(|(turn, since)| (turn, since + places.limits.first_line_least));
             match ripe {
@@ -62,16 +70,11 @@
                 None => places.freed.notified().await,
             }
         }
-        places.held.set(places.held.get() + 1);
-        Place {
-            turn: places.next.replace(places.next.get() + 1),
-            places: places.clone(),
-        }
     }
 
     /// How many hold a place.
     pub fn held(&self) -> usize {
-        self.0.held.get()
+        self.0.descriptors.in_use()
     }
 }
 
@@ -112,7 +115,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.places.waiting.borrow_mut().remove(&self.turn);
-        self.places.held.set(self.places.held.get() - 1);
+        // Its descriptor is free before anyone woken runs.
         self.places.freed.notify_one();
     }
 }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -148,9 +148,10 @@
     /// as its time was over before the fresh try began.
     #[test]
     fn silence_on_a_kept_connection_is_a_time_out_and_the_next_probe_is_fresh() {
-        let runtime = tokio::runtime::Builder::new_current_thread();
-        let runtime = { runtime }.enable_all().build().unwrap();
-        runtime.block_on(async {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        runtime.unwrap().block_on(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let at = listener.local_addr().unwrap();
             let limits = Rc::new(Limits::new(&Config::for_tests()));
--- a/crates/proxy/tests/bad_clients.rs
+++ b/crates/proxy/tests/bad_clients.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Peer, Proxy, Server, one_server};
+use common::{Discovery, End, Peer, Proxy, Server, one_server, without_loads};
 use serde_json::json;
 
 /// A bad client is owed an answer or a close so long after it connected.
@@ -18,8 +18,7 @@
     let proxy = Proxy::launch(discovery.addr, |config| {
         config["limits"]["sockets"] = json!(sockets);
         config["limits"]["memory_mb"] = json!(32);
-        // Without loads the module finds room for any number.
-        config["settings"]["reporting"]["fields"] = json!([]);
+        without_loads(config);
     });
     proxy.wait_ready();
     (server, discovery, proxy)
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -448,11 +448,9 @@
         proxy
     }
 
-    /// The same where servers tell no loads: the module finds room for any number of clients.
+    /// The same, with room for any number of clients.
     pub fn start_roomy(discovery: &Discovery) -> Self {
-        let proxy = Self::launch(discovery.addr, |config| {
-            config["settings"]["reporting"]["fields"] = json!([]);
-        });
+        let proxy = Self::launch(discovery.addr, without_loads);
         proxy.wait_ready();
         proxy
     }
@@ -635,6 +633,11 @@
     }
 }
 
+/// A configuration in which servers tell no loads: the module finds room for any number of clients.
+pub fn without_loads(config: &mut Value) {
+    config["settings"]["reporting"]["fields"] = json!([]);
+}
+
 /// One server, listed, and a proxy that is ready.
 pub fn one_server() -> (Server, Discovery, Proxy) {
     let server = Server::start("s-1");
--- a/crates/proxy/tests/troubles.rs
+++ b/crates/proxy/tests/troubles.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Mood, Peer, Proxy, Server, one_server, target};
+use common::{Discovery, End, Mood, Peer, Proxy, Server, one_server, target, without_loads};
 use serde_json::json;
 
 /// A machine that vanished leaves its connections open: only lines without an answer tell.
@@ -258,8 +258,8 @@
     let discovery = Discovery::start(&[server.target("ready")]);
     let mut proxy = Proxy::launch(discovery.addr, |config| {
         config["limits"]["sockets"] = json!(100);
-        // Without loads only descriptors turn anyone away.
-        config["settings"]["reporting"]["fields"] = json!([]);
+        // Only descriptors turn anyone away.
+        without_loads(config);
     });
     proxy.wait_ready();
     let mut held = Vec::new();
