The engine, sole owner of the balancer, is a crate of its own that fronts depend on

Need: driver, discovery and probe formed a circle, so that no second front or source could be added without the proxy's own files. Change: crates/engine holds Engine, Notice, Order, Listed, the clock, spread moves and their limits; time comes in with each call, probes go out by a trait. What a LOAD line means is settled in the front.

--- a/crates/proxy/src/driver.rs
+++ b/crates/engine/src/engine.rs
@@ -1,64 +1,23 @@
-//! Sole owner of the balancer and of its timers: notices in, events to the module, orders out.
+//! The engine: notices in, events to the module, orders out, and its timers.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
-use tracing::{debug, error, info, trace, warn};
+use tracing::{debug, error, info, trace};
 use violetwind_balancer::Balancer;
 use violetwind_balancer::api::{
-    Action, Ended, Entry, Event, ListKind, Outcome, Report, Request, RequestId, Secs, ServerId,
-    Status,
+    Action, Entry, Event, ListKind, Outcome, Report, RequestId, ServerId, Settings, Status,
 };
-use violetwind_common::server_id;
+use violetwind_common::{Names, server_id};
 
 use crate::clock::Clock;
-use crate::config::{Config, Reports};
-use crate::discovery::{self, Listed};
 use crate::limits::Limits;
-use crate::notes::{Note, Notes};
-use crate::probe::Probes;
-
-/// What the rest of the proxy tells the driver.
-#[derive(Debug)]
-pub enum Notice {
-    List(ListKind, Vec<Listed>),
-    ListLost,
-    /// A client's request, with the way to its connection.
-    Request(Request, mpsc::Sender<Order>),
-    /// One that stood at this server before the start, and the word that it is up there again.
-    Standing(RequestId, String, mpsc::Sender<Order>),
-    Stands(Request, ServerId),
-    Up(RequestId, ServerId),
-    Ended(Ended),
-    Gone(RequestId),
-    /// The figure of a `LOAD` line of a connection and its server.
-    Load(RequestId, ServerId, f64),
-    /// A server leaves clients' lines without an answer.
-    Silent(ServerId),
-    Probed(ServerId, Outcome, Report),
-    Shutdown,
-}
-
-/// What the driver tells one connection.
-#[derive(Debug)]
-pub enum Order {
-    Send {
-        server: ServerId,
-        endpoint: SocketAddr,
-        within: Duration,
-    },
-    /// The server of a standing connection is not known yet.
-    NotYet,
-    Refuse(Option<Secs>),
-    Fail,
-    Move,
-    Cancel,
-}
+use crate::spread::Spread;
+use crate::words::{Listed, Notice, Order};
 
 #[derive(Debug)]
 struct Conn {
@@ -67,26 +26,29 @@
     on: Option<ServerId>,
 }
 
-/// Connections that are to be moved, spread over a time.
+/// Who asks servers for their load; the answers come back as notices.
+pub trait Probe {
+    /// Probes a server at an address. False if too many wait there.
+    fn probe(&mut self, server: ServerId, at: SocketAddr) -> bool;
+}
+
+/// What an engine runs by.
 #[derive(Debug)]
-struct Spread {
-    left: Vec<RequestId>,
-    /// How many there were at the most.
-    most: usize,
-    from: Instant,
-    until: Instant,
+pub struct Setup {
+    pub settings: Settings,
+    pub seed: u64,
+    pub names: Names,
+    pub limits: Limits,
 }
 
-pub struct Driver {
-    config: Rc<Config>,
-    limits: Rc<Limits>,
+pub struct Engine<P> {
+    names: Names,
+    limits: Limits,
     clock: Clock,
+    now: Instant,
     balancer: Balancer,
     actions: Vec<Action>,
-    inbox: mpsc::Receiver<Notice>,
-    ready: watch::Sender<bool>,
-    probes: Probes,
-    notes: Notes,
+    probes: P,
     conns: HashMap<RequestId, Conn>,
     /// Where each server is reached, with the identity behind its number.
     addresses: HashMap<ServerId, (String, SocketAddr)>,
@@ -97,47 +59,16 @@
     next_spread: Option<Instant>,
 }
 
-impl Spread {
-    fn new(left: Vec<RequestId>, from: Instant, until: Instant) -> Self {
-        let most = left.len();
+impl<P: Probe> Engine<P> {
+    pub fn new(setup: Setup, clock: Clock, probes: P) -> Self {
         Self {
-            left,
-            most,
-            from,
-            until,
-        }
-    }
-
-    /// Takes out those whose time has come: evenly over the span, and all at its end.
-    fn due(&mut self, now: Instant) -> impl Iterator<Item = RequestId> {
-        self.most = self.most.max(self.left.len());
-        let span = (self.until - self.from).as_secs_f64();
-        let rest = (self.until - now).as_secs_f64() / span.max(f64::MIN_POSITIVE);
-        let stay = (self.most as f64 * rest) as usize;
-        self.left.drain(stay.min(self.left.len())..)
-    }
-}
-
-impl Driver {
-    pub fn new(
-        config: Rc<Config>,
-        limits: Rc<Limits>,
-        clock: Clock,
-        (notices, inbox): (mpsc::Sender<Notice>, mpsc::Receiver<Notice>),
-        ready: watch::Sender<bool>,
-    ) -> Self {
-        let settings = config.settings.clone();
-        let reports = config.reports != Reports::Nowhere && !settings.report_fields.is_empty();
-        Self {
-            balancer: Balancer::new(settings, config.seed),
-            probes: Probes::new(limits.clone(), reports, notices),
-            notes: Notes::new(config.tells_delay),
-            config,
-            limits,
+            balancer: Balancer::new(setup.settings, setup.seed),
+            names: setup.names,
+            limits: setup.limits,
+            now: clock.start(),
             clock,
             actions: Vec::new(),
-            inbox,
-            ready,
+            probes,
             conns: HashMap::new(),
             addresses: HashMap::new(),
             on_server: HashMap::new(),
@@ -148,16 +79,17 @@
         }
     }
 
-    /// Runs for as long as the proxy does.
-    pub async fn run(mut self) {
-        self.handle(Event::Start);
-        match discovery::read_list(self.config.known(), &self.limits) {
-            Ok(list) => self.list(ListKind::Restored, list.rows),
-            Err(error) => warn!(%error, "no list from the last run"),
-        }
+    /// Runs for as long as the proxy does. `known` is the list of the last run; `ready` is told once a
+    /// source has given a newer one.
+    pub async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Notice>,
+        known: Vec<Listed>,
+        ready: watch::Sender<bool>,
+    ) {
+        self.start(Instant::now(), known);
         loop {
-            let timer = self.timers.peek().map(|Reverse((at, _))| *at);
-            let due = [timer, self.next_spread].into_iter().flatten().min();
+            let due = self.next_wake();
             let wake = async {
                 match due {
                     Some(at) => sleep_until(at).await,
@@ -165,17 +97,36 @@
                 }
             };
             tokio::select! {
-                notice = self.inbox.recv() => match notice {
-                    Some(notice) => self.notice(notice),
+                notice = inbox.recv() => match notice {
+                    Some(notice) => {
+                        let listed = matches!(notice, Notice::List(..));
+                        self.take(Instant::now(), notice);
+                        if listed {
+                            ready.send_replace(true);
+                        }
+                    }
                     None => return,
                 },
-                () = wake => self.wake(),
+                () = wake => self.wake(Instant::now()),
             }
         }
     }
 
-    fn wake(&mut self) {
-        let now = Instant::now();
+    /// Comes to life with the list as it was last known.
+    pub fn start(&mut self, now: Instant, known: Vec<Listed>) {
+        self.now = now;
+        self.handle(Event::Start);
+        self.list(ListKind::Restored, known);
+    }
+
+    /// When it wants to be woken.
+    pub fn next_wake(&self) -> Option<Instant> {
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        [timer, self.next_spread].into_iter().flatten().min()
+    }
+
+    pub fn wake(&mut self, now: Instant) {
+        self.now = now;
         while let Some(Reverse((at, token))) = self.timers.peek().copied()
             && at <= now
         {
@@ -187,12 +138,11 @@
         }
     }
 
-    fn notice(&mut self, notice: Notice) {
+    /// Takes one notice, and gives its orders before it returns.
+    pub fn take(&mut self, now: Instant, notice: Notice) {
+        self.now = now;
         match notice {
-            Notice::List(kind, rows) => {
-                self.list(kind, rows);
-                self.ready.send_replace(true);
-            }
+            Notice::List(kind, rows) => self.list(kind, rows),
             Notice::ListLost => self.handle(Event::Servers(ListKind::Unavailable, Vec::new())),
             Notice::Request(request, orders) => {
                 let conn = Conn { orders, on: None };
@@ -230,13 +180,8 @@
                 self.forget(id);
                 self.handle(Event::Gone(id));
             }
-            Notice::Load(id, server, figure) => {
-                let event = match self.notes.read(figure) {
-                    Note::Load(load) => Event::LoadNote(id, load),
-                    Note::Delay(delay) => Event::DelayNote(server, delay),
-                };
-                self.handle(event);
-            }
+            Notice::Load(id, load) => self.handle(Event::LoadNote(id, load)),
+            Notice::Delay(server, delay) => self.handle(Event::DelayNote(server, delay)),
             Notice::Silent(server) => {
                 // To the module a server that leaves lines unanswered is as one that leaves probes.
                 let outcome = Outcome::TimedOut;
@@ -246,7 +191,6 @@
                 self.handle(Event::Probed(server, outcome, report));
             }
             Notice::Shutdown => {
-                let now = Instant::now();
                 let left: Vec<RequestId> = self.on_server.values().flatten().copied().collect();
                 info!(connections = left.len(), "shutdown: clients are moved");
                 let from = now + self.limits.term_serve;
@@ -293,7 +237,7 @@
                 let address = (listed.uid.clone(), endpoint);
                 self.addresses.insert(server, address);
             }
-            entries.push(listed.row.entry(&self.config.names));
+            entries.push(listed.row.entry(&self.names));
             self.note_status(server, status);
         }
         if kind != ListKind::Update {
@@ -321,10 +265,10 @@
                 Status::Gone => Duration::ZERO,
                 _ => self.limits.drain_wait,
             };
-            let from = Instant::now() + wait;
+            let from = self.now + wait;
             let until = from + self.limits.drain_span;
             self.draining.insert(server, Spread::new(left, from, until));
-            self.next_spread = Some(Instant::now());
+            self.next_spread = Some(self.now);
         }
     }
 
@@ -352,7 +296,8 @@
     fn handle(&mut self, event: Event) {
         trace!(?event);
         let mut actions = std::mem::take(&mut self.actions);
-        self.balancer.handle(self.clock.now(), event, &mut actions);
+        self.balancer
+            .handle(self.clock.at(self.now), event, &mut actions);
         for action in actions.drain(..) {
             self.carry_out(action);
         }
@@ -390,12 +335,12 @@
             Action::Subscribe => {}
             Action::Timer(after, token) => {
                 let after = Duration::from_secs_f64(after.clamp(0.0, 1e6));
-                self.timers.push(Reverse((Instant::now() + after, token)));
+                self.timers.push(Reverse((self.now + after, token)));
             }
         }
     }
 
-    /// A final answer: the connection is told, and the driver is done with it.
+    /// A final answer: the connection is told, and the engine is done with it.
     fn answer(&mut self, id: RequestId, order: Order) {
         self.order(id, order);
         self.forget(id);
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,16 @@
+//! Sole owner of the balancer. Fronts (what clients and servers speak) and sources (what tells of
+//! servers) send it [`Notice`]s and get [`Order`]s; it depends on none of them and knows no protocol.
+//!
+//! It never waits for a connection and holds no lock: orders go out over bounded channels, and one that
+//! does not take its orders is told in the log and left to its own deadline.
+
+mod clock;
+mod engine;
+mod limits;
+mod spread;
+mod words;
+
+pub use clock::Clock;
+pub use engine::{Engine, Probe, Setup};
+pub use limits::Limits;
+pub use words::{Listed, Notice, Order};
--- /dev/null
+++ b/crates/engine/src/limits.rs
@@ -0,0 +1,19 @@
+//! The engine's sizes and times; fronts have their own.
+
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Notices on the way to the engine: who sends one more waits.
+    pub notices: usize,
+    /// A connection that stood before the start is tried for so long.
+    pub standing: Duration,
+    /// A draining server's connections stay so long, then move over such a span.
+    pub drain_wait: Duration,
+    pub drain_span: Duration,
+    /// How often moves that are spread out are given out.
+    pub spread_tick: Duration,
+    /// After a shutdown's word: moves spread from there to here.
+    pub term_serve: Duration,
+    pub term_moved: Duration,
+}
--- /dev/null
+++ b/crates/engine/src/spread.rs
@@ -0,0 +1,34 @@
+//! Connections that are to be moved, spread evenly over a time.
+
+use tokio::time::Instant;
+use violetwind_balancer::api::RequestId;
+
+#[derive(Debug)]
+pub(crate) struct Spread {
+    pub left: Vec<RequestId>,
+    /// How many there were at the most.
+    most: usize,
+    pub from: Instant,
+    pub until: Instant,
+}
+
+impl Spread {
+    pub fn new(left: Vec<RequestId>, from: Instant, until: Instant) -> Self {
+        let most = left.len();
+        Self {
+            left,
+            most,
+            from,
+            until,
+        }
+    }
+
+    /// Takes out those whose time has come: evenly over the span, and all at its end.
+    pub fn due(&mut self, now: Instant) -> impl Iterator<Item = RequestId> {
+        self.most = self.most.max(self.left.len());
+        let span = (self.until - self.from).as_secs_f64();
+        let rest = (self.until - now).as_secs_f64() / span.max(f64::MIN_POSITIVE);
+        let stay = (self.most as f64 * rest) as usize;
+        self.left.drain(stay.min(self.left.len())..)
+    }
+}
--- /dev/null
+++ b/crates/engine/src/words.rs
@@ -0,0 +1,58 @@
+//! What the engine hears and says, in words that are no protocol's.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use violetwind_balancer::api::{
+    Ended, ListKind, Outcome, Report, Request, RequestId, Secs, ServerId,
+};
+use violetwind_common::Row;
+
+/// One row of a list with what the module does not need.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub uid: String,
+    /// Where this proxy reaches it; a row of a server that is gone may have none.
+    pub endpoint: Option<SocketAddr>,
+    pub row: Row,
+}
+
+/// What fronts and sources tell the engine.
+#[derive(Debug)]
+pub enum Notice {
+    List(ListKind, Vec<Listed>),
+    ListLost,
+    /// A client's request, with the way to its connection.
+    Request(Request, mpsc::Sender<Order>),
+    /// One that stood at this server before the start, and the word that it is up there again.
+    Standing(RequestId, String, mpsc::Sender<Order>),
+    Stands(Request, ServerId),
+    Up(RequestId, ServerId),
+    Ended(Ended),
+    Gone(RequestId),
+    /// A connection's load now, in seconds of work a second.
+    Load(RequestId, f64),
+    /// How long a message takes at a server now.
+    Delay(ServerId, Secs),
+    /// A server leaves clients' lines without an answer.
+    Silent(ServerId),
+    Probed(ServerId, Outcome, Report),
+    Shutdown,
+}
+
+/// What the engine tells one connection.
+#[derive(Debug)]
+pub enum Order {
+    Send {
+        server: ServerId,
+        endpoint: SocketAddr,
+        within: Duration,
+    },
+    /// The server of a standing connection is not known yet.
+    NotYet,
+    Refuse(Option<Secs>),
+    Fail,
+    Move,
+    Cancel,
+}
--- a/crates/proxy/src/admit.rs
+++ b/crates/proxy/src/admit.rs
@@ -83,7 +83,7 @@
         request,
         open,
         deadline: client.arrived
-            + patience.max(stood_at.map_or(patience, |_| shared.limits.standing)),
+            + patience.max(stood_at.map_or(patience, |_| shared.limits.engine.standing)),
         stood_at,
         hold: (permit, id),
     };
--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -1,23 +1,31 @@
-//! Last stage: tells the driver how a connection ended, once and on every way out.
+//! Last stage: tells the engine how a connection ended, once and on every way out.
+
+use std::cell::RefCell;
+use std::rc::Rc;
 
 use tokio::sync::mpsc;
 use violetwind_balancer::api::{Ended, Outcome, Report, RequestId, ServerId};
 
-use crate::driver::Notice;
+use violetwind_engine::Notice;
+
+use crate::notes::{Note, Notes};
+use crate::take_in::Shared;
 
-/// An entry in the driver's books, from the request until its end.
+/// An entry in the engine's books, from the request until its end.
 #[derive(Debug)]
 pub struct Booking {
     id: RequestId,
-    driver: mpsc::Sender<Notice>,
+    engine: mpsc::Sender<Notice>,
+    notes: Rc<RefCell<Notes>>,
     closed: bool,
 }
 
 impl Booking {
-    pub fn new(id: RequestId, driver: mpsc::Sender<Notice>) -> Self {
+    pub fn new(id: RequestId, shared: &Shared) -> Self {
         Self {
             id,
-            driver,
+            engine: shared.engine.clone(),
+            notes: shared.notes.clone(),
             closed: false,
         }
     }
@@ -29,7 +37,12 @@
 
     /// The figure of a `LOAD` line.
     pub async fn load(&self, server: ServerId, figure: f64) {
-        self.tell(Notice::Load(self.id, server, figure)).await;
+        let note = self.notes.borrow_mut().read(figure);
+        self.tell(match note {
+            Note::Load(load) => Notice::Load(self.id, load),
+            Note::Delay(delay) => Notice::Delay(server, delay),
+        })
+        .await;
     }
 
     /// The server leaves the client's lines without an answer.
@@ -66,8 +79,8 @@
     }
 
     pub async fn tell(&self, notice: Notice) {
-        // Without a driver the process ends.
-        let _ = self.driver.send(notice).await;
+        // Without an engine the process ends.
+        let _ = self.engine.send(notice).await;
     }
 }
 
@@ -75,7 +88,7 @@
     fn drop(&mut self) {
         // A connection whose task ended on no known way must not stay in the books.
         if !self.closed {
-            let _ = self.driver.try_send(Notice::Gone(self.id));
+            let _ = self.engine.try_send(Notice::Gone(self.id));
         }
     }
 }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -18,17 +18,8 @@
 use violetwind_balancer::api::{ListKind, Status};
 use violetwind_common::{Row, server_id};
 
-use crate::driver::Notice;
 use crate::limits::Limits;
-
-/// One row of a list with what the module does not need.
-#[derive(Clone, Debug)]
-pub struct Listed {
-    pub uid: String,
-    /// Where this proxy reaches it; a row of a server that is gone may have none.
-    pub endpoint: Option<SocketAddr>,
-    pub row: Row,
-}
+use violetwind_engine::{Listed, Notice};
 
 #[derive(Debug)]
 pub struct List {
@@ -162,12 +153,12 @@
 pub async fn watch(
     mut address: watch::Receiver<SocketAddr>,
     limits: Rc<Limits>,
-    driver: mpsc::Sender<Notice>,
+    engine: mpsc::Sender<Notice>,
 ) {
     loop {
         let at = *address.borrow_and_update();
         tokio::select! {
-            () = follow(at, &limits, &driver) => return,
+            () = follow(at, &limits, &engine) => return,
             changed = address.changed() => match changed {
                 Ok(()) => info!(from = %at, "discovery has moved: the whole list is asked there"),
                 Err(_) => return,
@@ -179,7 +170,7 @@
 /// Watches the list at one address. The next call goes out as soon as an answer is read; after a
 /// failure the last list stays and the next call waits, longer each time and by chance, so that
 /// proxies that lost discovery together don't come back together.
-async fn follow(address: SocketAddr, limits: &Rc<Limits>, driver: &mpsc::Sender<Notice>) {
+async fn follow(address: SocketAddr, limits: &Rc<Limits>, engine: &mpsc::Sender<Notice>) {
     let mut client = Client {
         address,
         limits: limits.clone(),
@@ -234,7 +225,7 @@
                 } else {
                     ListKind::Update
                 };
-                if news && driver.send(Notice::List(kind, list.rows)).await.is_err() {
+                if news && engine.send(Notice::List(kind, list.rows)).await.is_err() {
                     return;
                 }
                 if empty_at_once {
@@ -243,7 +234,7 @@
             }
             Err(error) => {
                 warn!(%error, "discovery");
-                if driver.send(Notice::ListLost).await.is_err() {
+                if engine.send(Notice::ListLost).await.is_err() {
                     return;
                 }
                 sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -29,8 +29,7 @@
     /// Log lines that clients cause, in such a span.
     pub log_lines: u32,
     pub log_span: Duration,
-    /// Events on the way to the driver, and orders on the way to one connection.
-    pub events: usize,
+    /// Orders on the way to one connection.
     pub orders: usize,
     /// Probes of one server that wait for another to end.
     pub probes: usize,
@@ -54,8 +53,7 @@
     pub idle_probe: Duration,
     /// Past the client's deadline, should the module not have answered.
     pub answer_slack: Duration,
-    /// A connection that stood before the start is tried for so long, and so often.
-    pub standing: Duration,
+    /// A connection that stood before the start is tried so often.
     pub standing_again: Duration,
     pub connect: Duration,
     /// From the start of a probe until its answer.
@@ -86,18 +84,12 @@
     /// Without any word from discovery the list of the last run must do.
     pub list_wait: Duration,
 
-    /// A draining server's connections stay so long, then move over such a span.
-    pub drain_wait: Duration,
-    pub drain_span: Duration,
-    /// How often moves that are spread out are given out.
-    pub spread_tick: Duration,
-    /// After SIGTERM: connections still come and are served; moves spread from there to here, as late as
-    /// is safe, or they come while the proxy that was restarted before is not back; then the end, not
-    /// before some time has passed for the last that come.
-    pub term_serve: Duration,
-    pub term_moved: Duration,
+    /// After SIGTERM the engine moves all clients, as late as is safe, or they come while the proxy that
+    /// was restarted before is not back; then the end, not before some time has passed for the last.
     pub term_least: Duration,
     pub term_exit: Duration,
+
+    pub engine: violetwind_engine::Limits,
 }
 
 impl Limits {
@@ -127,7 +119,6 @@
             most_patience: 7200.0,
             log_lines: 10,
             log_span: ms(1000),
-            events: 1024,
             orders: 8,
             probes: 4,
             list_bytes: 8 << 20,
@@ -140,7 +131,6 @@
             line_gap: ms(10),
             idle_probe: ms(30_000),
             answer_slack: ms(10),
-            standing: ms(38_000),
             standing_again: ms(250),
             connect: secs(config.connect_timeout.unwrap_or(0.25)),
             probe: ms(300),
@@ -158,13 +148,17 @@
             backoff_most: secs(0.2 * ask_within),
             backoff_fresh: ms(400),
             list_wait: ms(3000),
-            drain_wait: ms(700),
-            drain_span: ms(800),
-            spread_tick: ms(20),
-            term_serve: secs((0.5 * term).max(0.45)),
             term_least: ms(750),
-            term_moved: secs(term.max(0.8)),
             term_exit: secs(term + 0.45),
+            engine: violetwind_engine::Limits {
+                notices: 1024,
+                standing: ms(38_000),
+                drain_wait: ms(700),
+                drain_span: ms(800),
+                spread_tick: ms(20),
+                term_serve: secs((0.5 * term).max(0.45)),
+                term_moved: secs(term.max(0.8)),
+            },
         }
     }
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -2,14 +2,12 @@
 //! (`crates/balancer`); this program reads sockets, tells the module and does what it says.
 //!
 //! A client's connection passes the stages `take_in`, `admit`, `route`, `send`, `relay` and
-//! `book`. The `driver` alone owns the module.
+//! `book`. The engine (`crates/engine`) alone owns the module.
 
 mod admit;
 mod book;
-mod clock;
 mod config;
 mod discovery;
-mod driver;
 mod first_lines;
 mod limits;
 mod line;
@@ -30,13 +28,13 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tracing::{Level, info};
+use tracing::{Level, info, warn};
+use violetwind_engine::{Clock, Engine, Setup};
 
-use crate::clock::Clock;
-use crate::config::Config;
-use crate::driver::Driver;
+use crate::config::{Config, Reports};
 use crate::first_lines::FirstLines;
 use crate::limits::{Descriptors, Limits};
+use crate::probe::Probes;
 use crate::take_in::Shared;
 
 fn main() -> ExitCode {
@@ -87,19 +85,28 @@
         .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", config.listen)))?;
     info!(name = config.name, listen = %config.listen, memory_mb = config.memory_mb,
         descriptors = limits.descriptors, first_lines = limits.first_lines, "start");
-    let (notices, inbox) = mpsc::channel(limits.events);
+    let (notices, inbox) = mpsc::channel(limits.engine.notices);
     let (ready, is_ready) = watch::channel(false);
-    let channel = (notices.clone(), inbox);
-    let driver = Driver::new(
-        config.clone(),
-        limits.clone(),
-        Clock::start(),
-        channel,
-        ready,
-    );
+    let settings = config.settings.clone();
+    let reports = config.reports != Reports::Nowhere && !settings.report_fields.is_empty();
+    let setup = Setup {
+        settings,
+        seed: config.seed,
+        names: config.names.clone(),
+        limits: limits.engine.clone(),
+    };
+    let probes = Probes::new(limits.clone(), reports, notices.clone());
+    let engine = Engine::new(setup, Clock::new(), probes);
+    let known = match discovery::read_list(config.known(), &limits) {
+        Ok(list) => list.rows,
+        Err(error) => {
+            warn!(%error, "no list from the last run");
+            Vec::new()
+        }
+    };
     let descriptors = (requests.clone(), first_lines.clone());
     let shared = Shared::new(&config, &limits, descriptors, notices.clone(), is_ready);
-    let driver = tokio::task::spawn_local(driver.run());
+    let engine = tokio::task::spawn_local(engine.run(inbox, known, ready));
     let watch = discovery::watch(discovery, limits.clone(), notices.clone());
     tokio::task::spawn_local(watch);
     tokio::task::spawn_local(reload.run());
@@ -107,6 +114,6 @@
     tokio::select! {
         ended = shutdown::wait(limits, (requests, first_lines), notices) => ended,
         // Only a panic in the module ends it.
-        ended = driver => Err(io::Error::other(format!("the driver has ended: {ended:?}"))),
+        ended = engine => Err(io::Error::other(format!("the engine has ended: {ended:?}"))),
     }
 }
--- a/crates/proxy/src/probe.rs
+++ b/crates/proxy/src/probe.rs
@@ -12,10 +12,10 @@
 use tracing::debug;
 use violetwind_balancer::api::{Outcome, Report, ServerId};
 
-use crate::driver::Notice;
 use crate::limits::{Descriptors, Limits, Permit};
 use crate::line::{self, Word};
 use crate::ring::Ring;
+use violetwind_engine::{Notice, Probe};
 
 /// All probers, by server.
 #[derive(Debug)]
@@ -25,23 +25,24 @@
     descriptors: Descriptors,
     /// `STATS` where probes bring load reports, else `PING`.
     question: &'static [u8],
-    driver: mpsc::Sender<Notice>,
+    engine: mpsc::Sender<Notice>,
     probers: HashMap<ServerId, mpsc::Sender<SocketAddr>>,
 }
 
 impl Probes {
-    pub fn new(limits: Rc<Limits>, reports: bool, driver: mpsc::Sender<Notice>) -> Self {
+    pub fn new(limits: Rc<Limits>, reports: bool, engine: mpsc::Sender<Notice>) -> Self {
         Self {
             descriptors: Descriptors::new(limits.probe_descriptors),
             limits,
             question: if reports { b"STATS\r\n" } else { b"PING\r\n" },
-            driver,
+            engine,
             probers: HashMap::new(),
         }
     }
+}
 
-    /// Probes a server at an address; the answer comes as a notice. False if too many wait there.
-    pub fn probe(&mut self, server: ServerId, at: SocketAddr) -> bool {
+impl Probe for Probes {
+    fn probe(&mut self, server: ServerId, at: SocketAddr) -> bool {
         // A prober that was idle for long has ended.
         let running = self.probers.get(&server).filter(|tx| !tx.is_closed());
         let tx = running.cloned().unwrap_or_else(|| {
@@ -53,7 +54,7 @@
                 question: self.question,
                 kept: None,
             };
-            tokio::task::spawn_local(prober.run(rx, self.driver.clone()));
+            tokio::task::spawn_local(prober.run(rx, self.engine.clone()));
             self.probers.insert(server, tx.clone());
             tx
         });
@@ -71,14 +72,14 @@
 }
 
 impl Prober {
-    async fn run(mut self, mut asked: mpsc::Receiver<SocketAddr>, driver: mpsc::Sender<Notice>) {
+    async fn run(mut self, mut asked: mpsc::Receiver<SocketAddr>, engine: mpsc::Sender<Notice>) {
         while let Ok(Some(endpoint)) = timeout(self.limits.idle_probe, asked.recv()).await {
             let (outcome, report) = answer(self.probe(endpoint).await);
             if outcome != Outcome::Ok {
                 debug!(server = self.server, ?outcome, "probe");
             }
             let notice = Notice::Probed(self.server, outcome, report);
-            if driver.send(notice).await.is_err() {
+            if engine.send(notice).await.is_err() {
                 return;
             }
         }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -11,12 +11,12 @@
 use violetwind_balancer::api::{Outcome, Report, ServerId};
 
 use crate::book::Booking;
-use crate::driver::Order;
 use crate::limits::Limits;
 use crate::line::{self, Scanner, Word};
 use crate::ring::{Ring, skip_block};
 use crate::send::Server;
 use crate::take_in::Client;
+use violetwind_engine::Order;
 
 /// One direction of a connection.
 #[derive(Debug, Default)]
@@ -138,7 +138,7 @@
     waiting_since: Option<Instant>,
     /// What the server's last word means for the books.
     outcome: (Outcome, Report),
-    /// The connection's load as last told, until the driver has it.
+    /// The connection's load as last told, until the engine has it.
     load: Option<f64>,
     /// A move was ordered, and goes ahead then whatever is under way.
     move_by: Option<Instant>,
@@ -281,7 +281,7 @@
                         self.move_by = Some(Instant::now() + self.limits.move_wait);
                     }
                     Some(_) => {}
-                    // The driver is gone, and so is the process.
+                    // The engine is gone, and so is the process.
                     None => return End::ServerBroke,
                 },
                 () = until(due) => {
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -9,10 +9,10 @@
 
 use crate::admit::Admitted;
 use crate::book::Booking;
-use crate::driver::{Notice, Order};
 use crate::relay;
 use crate::send::{self, Attempt, Server};
 use crate::take_in::{Client, Shared};
+use violetwind_engine::{Notice, Order};
 
 /// What a request comes to.
 enum Answer {
@@ -30,7 +30,7 @@
     let limits = &shared.limits;
     let (to, mut orders) = mpsc::channel(limits.orders);
     let id = admitted.open.id;
-    let booking = Booking::new(admitted.request.id, shared.driver.clone());
+    let booking = Booking::new(admitted.request.id, shared);
     match decide(&mut client, &admitted, shared, &booking, to, &mut orders).await {
         Answer::Taken(on, server) => {
             relay::relay(client, server, on, orders, booking, limits).await;
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -7,15 +7,15 @@
 use tokio::time::{Instant, sleep_until};
 use tracing::info;
 
-use crate::driver::Notice;
 use crate::first_lines::FirstLines;
 use crate::limits::{Descriptors, Limits};
+use violetwind_engine::Notice;
 
 /// Returns when the process is to end.
 pub async fn wait(
     limits: Rc<Limits>,
     (requests, first_lines): (Descriptors, FirstLines),
-    driver: mpsc::Sender<Notice>,
+    engine: mpsc::Sender<Notice>,
 ) -> std::io::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -25,13 +25,13 @@
     }
     let asked = Instant::now();
     info!("told to end");
-    // Without a driver there is nobody to move.
-    let _ = driver.send(Notice::Shutdown).await;
+    // Without an engine there is nobody to move.
+    let _ = engine.send(Notice::Shutdown).await;
     let (from, until) = (asked + limits.term_least, asked + limits.term_exit);
     sleep_until(from).await;
     // One is always held by the listener for the next client.
     while Instant::now() < until && (requests.in_use() > 0 || first_lines.held() > 1) {
-        tokio::time::sleep(limits.spread_tick).await;
+        tokio::time::sleep(limits.engine.spread_tick).await;
     }
     info!(
         descriptors = requests.in_use(),
--- a/crates/proxy/src/take_in.rs
+++ b/crates/proxy/src/take_in.rs
@@ -1,6 +1,6 @@
 //! Stage one: accepts connections, reads the first line of each, and answers what needs no server.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use socket2::{SockRef, TcpKeepalive};
@@ -12,12 +12,13 @@
 
 use crate::admit::{self, OpenIds};
 use crate::config::Config;
-use crate::driver::Notice;
 use crate::first_lines::{FirstLines, Place};
 use crate::limits::{Descriptors, Limits};
 use crate::line::{self, First};
+use crate::notes::Notes;
 use crate::repeats::Repeats;
 use crate::ring::{Ring, skip_block};
+use violetwind_engine::Notice;
 
 /// What all connections share.
 #[derive(Debug)]
@@ -28,7 +29,8 @@
     first_lines: FirstLines,
     pub open_ids: OpenIds,
     pub repeats: Repeats,
-    pub driver: mpsc::Sender<Notice>,
+    pub notes: Rc<RefCell<Notes>>,
+    pub engine: mpsc::Sender<Notice>,
     /// Whether the list has come from discovery.
     ready: watch::Receiver<bool>,
     started: Instant,
@@ -40,7 +42,7 @@
         config: &Rc<Config>,
         limits: &Rc<Limits>,
         (requests, first_lines): (Descriptors, FirstLines),
-        driver: mpsc::Sender<Notice>,
+        engine: mpsc::Sender<Notice>,
         ready: watch::Receiver<bool>,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -50,7 +52,8 @@
             first_lines,
             open_ids: OpenIds::default(),
             repeats: Repeats::new(limits.log_lines, limits.log_span),
-            driver,
+            notes: Rc::new(RefCell::new(Notes::new(config.tells_delay))),
+            engine,
             ready,
             started: Instant::now(),
             ids: Cell::new(0),
