A catalogue that doubts what sources tell of servers, without I/O or clock

Need: a whole list that leaves out half of the servers for 2 s moved all their clients, though each server went on answering; Consul's checks flap the same way. Change: crates/catalogue merges sources by server identity: drains bind, absence and failed checks are suspicion, a source that loses much at once is doubted, flapping servers are damped, silence changes nothing, long absence turns servers gone at a bounded rate. Every size is in Limits.

--- /dev/null
+++ b/crates/catalogue/tests/beliefs.rs
@@ -0,0 +1,387 @@
+//! What is believed, told as tables of events: each line of a test is a moment and what changes then.
+
+use violetwind_catalogue::{
+    Belief, Catalogue, Fact, Instance, Limits, Millis, Row, SourceId, Telling, Why, Word,
+};
+
+const T: Millis = 1_700_000_000_000;
+
+fn row(uid: &str, word: Word) -> Row {
+    at_port(uid, word, 3000)
+}
+
+fn at_port(uid: &str, word: Word, port: u16) -> Row {
+    Row {
+        uid: uid.into(),
+        word,
+        instance: Some(Instance {
+            endpoint: ([127, 0, 0, 1], port).into(),
+            zone: None,
+            kind: None,
+            cell: 0,
+            size: None,
+            born: None,
+            epoch: 1,
+        }),
+    }
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("s-{n:05}")).collect()
+}
+
+fn whole(names: &[String], word: impl Fn(usize) -> Option<Word>) -> Telling {
+    let rows = names.iter().enumerate();
+    Telling::Whole(
+        rows.filter_map(|(n, uid)| Some(row(uid, word(n)?)))
+            .collect(),
+    )
+}
+
+/// A catalogue with one source that has listed so many servers as ready.
+fn listed(count: usize) -> (Catalogue, SourceId, Vec<String>) {
+    let mut catalogue = Catalogue::new(Limits::default());
+    let source = catalogue.add_source("one").unwrap();
+    let names = names(count);
+    let facts = catalogue.tell(T, source, whole(&names, |_| Some(Word::Ready)));
+    assert_eq!(facts.len(), count);
+    assert!(facts.iter().all(|fact| fact.belief == Belief::Ready));
+    // What a first list tells of may have run for long: none of it counts as cold.
+    assert!(facts.iter().all(|fact| fact.born.is_none()));
+    (catalogue, source, names)
+}
+
+fn changes(rows: Vec<Row>) -> Telling {
+    Telling::Changes(rows)
+}
+
+fn beliefs(facts: &[Fact]) -> Vec<(&str, Belief)> {
+    facts.iter().map(|f| (&*f.uid, f.belief)).collect()
+}
+
+/// Lets time pass as the engine does, and gathers what changes.
+fn until(catalogue: &mut Catalogue, from: Millis, to: Millis) -> Vec<(Millis, Fact)> {
+    let mut facts = Vec::new();
+    let mut now = from;
+    while let Some(at) = catalogue.next_wake().filter(|at| *at <= to) {
+        now = at.max(now);
+        facts.extend(catalogue.wake(now).into_iter().map(|fact| (now, fact)));
+    }
+    facts
+}
+
+#[test]
+fn one_failed_check_is_a_suspicion_and_silence_besides_is_the_end() {
+    let (mut c, source, names) = listed(10);
+    let facts = c.tell(
+        T + 1000,
+        source,
+        changes(vec![row(&names[3], Word::Failing)]),
+    );
+    assert_eq!(beliefs(&facts), [(&*names[3], Belief::Suspected)]);
+    assert_eq!(facts[0].why, Why::OneSaysFailing);
+    // It answers for ten minutes: its clients stay.
+    for second in 2..600 {
+        assert!(c.heard_of(T + second * 1000, &names[3], true).is_empty());
+    }
+    assert!(until(&mut c, T + 1000, T + 600_000).is_empty());
+    assert!(c.heard_of(T + 601_000, &names[3], false).is_empty());
+    let facts = c.heard_of(T + 602_000, &names[3], false);
+    assert_eq!(beliefs(&facts), [(&*names[3], Belief::Gone)]);
+    assert_eq!(facts[0].why, Why::Unanswered);
+    // Back: cold, for its process may be new.
+    let facts = c.tell(
+        T + 700_000,
+        source,
+        changes(vec![row(&names[3], Word::Ready)]),
+    );
+    assert_eq!(beliefs(&facts), [(&*names[3], Belief::Ready)]);
+    assert_eq!(facts[0].born, Some(T + 700_000));
+}
+
+#[test]
+fn silence_alone_is_no_catalogue_matter() {
+    let (mut c, _, names) = listed(10);
+    for second in 1..10 {
+        // The module has its own suspicion; no source has spoken against it.
+        assert!(c.heard_of(T + second * 1000, &names[3], false).is_empty());
+    }
+}
+
+#[test]
+fn a_server_that_nobody_lists_is_gone_after_a_while_though_it_answers() {
+    let (mut c, source, names) = listed(10);
+    let facts = c.tell(
+        T + 1000,
+        source,
+        whole(&names, |n| (n != 4).then_some(Word::Ready)),
+    );
+    assert_eq!(beliefs(&facts), [(&*names[4], Belief::Suspected)]);
+    assert_eq!(facts[0].why, Why::NobodyListsIt);
+    let facts = until(&mut c, T + 1000, T + 70_000);
+    assert_eq!(facts.len(), 1, "{facts:?}");
+    assert!((T + 61_000..T + 62_000).contains(&facts[0].0), "{facts:?}");
+    assert_eq!(facts[0].1.why, Why::AbsentForLong);
+    // And forgotten later.
+    until(&mut c, T + 70_000, T + 200_000);
+    assert_eq!(c.len(), 9);
+}
+
+/// The flap of the issue: half of all checks fail for two seconds.
+#[test]
+fn half_a_fleet_that_fails_for_two_seconds_changes_nothing() {
+    let (mut c, source, names) = listed(100);
+    let half = |n: usize| {
+        Some(if n.is_multiple_of(2) {
+            Word::Failing
+        } else {
+            Word::Ready
+        })
+    };
+    assert!(c.tell(T + 5000, source, whole(&names, half)).is_empty());
+    assert!(until(&mut c, T + 5000, T + 7000).is_empty());
+    let facts = c.tell(T + 7000, source, whole(&names, |_| Some(Word::Ready)));
+    assert!(facts.is_empty(), "{facts:?}");
+    assert_eq!(c.counts().doubts, 1);
+    // Trusted again after a while of calm.
+    assert!(until(&mut c, T + 7000, T + 60_000).is_empty());
+    assert!(c.sources().all(|source| source.doubted_since.is_none()));
+    let facts = c.tell(
+        T + 60_000,
+        source,
+        changes(vec![row(&names[0], Word::Failing)]),
+    );
+    assert_eq!(beliefs(&facts), [(&*names[0], Belief::Suspected)]);
+}
+
+/// The same left out of a whole list, three times a minute for ten minutes.
+#[test]
+fn half_a_fleet_that_vanishes_three_times_a_minute_changes_nothing() {
+    let (mut c, source, names) = listed(100);
+    for time in 1..30 {
+        let at = T + time * 20_000;
+        let half = |n: usize| n.is_multiple_of(2).then_some(Word::Ready);
+        let mut facts = c.tell(at, source, whole(&names, half));
+        facts.extend(until(&mut c, at, at + 2000).into_iter().map(|f| f.1));
+        facts.extend(c.tell(at + 2000, source, whole(&names, |_| Some(Word::Ready))));
+        facts.extend(
+            until(&mut c, at + 2000, at + 20_000)
+                .into_iter()
+                .map(|f| f.1),
+        );
+        assert!(facts.is_empty(), "{time}: {facts:?}");
+    }
+}
+
+/// Words that come one by one look like single failures at first; with the next ones the source is
+/// doubted and all of them are taken back.
+#[test]
+fn a_fleet_that_fails_one_by_one_at_a_go_is_taken_back() {
+    let (mut c, source, names) = listed(20);
+    let mut suspects = 0_i32;
+    for (n, uid) in names[..10].iter().enumerate() {
+        let word = changes(vec![row(uid, Word::Failing)]);
+        for fact in c.tell(T + 1000 + n as u64, source, word) {
+            suspects += if fact.belief == Belief::Suspected {
+                1
+            } else {
+                -1
+            };
+        }
+    }
+    assert_eq!(suspects, 0);
+}
+
+#[test]
+fn of_a_doubted_source_those_that_do_not_answer_are_believed_dead() {
+    let (mut c, source, names) = listed(10);
+    let half = |n: usize| Some(if n < 5 { Word::Failing } else { Word::Ready });
+    assert!(c.tell(T + 1000, source, whole(&names, half)).is_empty());
+    for uid in &names {
+        c.heard_of(T + 1500, uid, uid != &names[1]);
+    }
+    let facts = c.heard_of(T + 2500, &names[1], false);
+    assert_eq!(beliefs(&facts), [(&*names[1], Belief::Gone)]);
+    // One that the source speaks well of is not its matter.
+    c.heard_of(T + 1500, &names[8], false);
+    assert!(c.heard_of(T + 2500, &names[8], false).is_empty());
+}
+
+/// An hour without an answer, then a list with a different half.
+#[test]
+fn an_hour_of_silence_changes_nothing_and_a_different_half_is_no_wave() {
+    let hour = 3_600_000;
+    let (mut c, source, names) = listed(100);
+    for second in 0..3600 {
+        assert!(c.tell(T + second * 1000, source, Telling::Lost).is_empty());
+    }
+    assert_eq!(c.sources().next().unwrap().lost_since, Some(T));
+    let back = T + hour;
+    let mut rows: Vec<Row> = names[..50].iter().map(|n| row(n, Word::Ready)).collect();
+    rows.extend((0..50).map(|n| row(&format!("new-{n:02}"), Word::Ready)));
+    let facts = c.tell(back, source, Telling::Whole(rows.clone()));
+    // One step: the new ones are there, and cold; of the others nobody is told anything.
+    assert_eq!(facts.len(), 50);
+    assert!(
+        facts
+            .iter()
+            .all(|f| f.uid.starts_with("new-") && f.born == Some(back))
+    );
+    // They answer: once the source has said so for long enough they go, two a second of a hundred.
+    let facts = until(&mut c, back, back + 599_000);
+    assert!(facts.is_empty(), "{:?}", facts.first());
+    let facts = until(&mut c, back + 599_000, back + 700_000);
+    let gone: Vec<Millis> = facts
+        .iter()
+        .filter(|(_, f)| f.belief == Belief::Gone)
+        .map(|(at, _)| *at)
+        .collect();
+    assert_eq!(gone.len(), 50);
+    for (n, at) in gone.iter().enumerate() {
+        let within = gone[n..].iter().take_while(|later| **later < at + 1000);
+        assert!(within.count() <= 6, "a wave at {}", at - back);
+    }
+}
+
+#[test]
+fn two_sources_that_contradict_each_other_about_a_drain() {
+    let (mut c, one, names) = listed(4);
+    let two = c.add_source("two").unwrap();
+    c.tell(T, two, whole(&names, |_| Some(Word::Ready)));
+    let facts = c.tell(T + 1, one, changes(vec![row(&names[0], Word::Draining)]));
+    assert_eq!(beliefs(&facts), [(&*names[0], Belief::Draining)]);
+    // Whatever the other says, as often as it likes.
+    for n in 2..100 {
+        assert!(
+            c.tell(T + n, two, whole(&names, |_| Some(Word::Ready)))
+                .is_empty()
+        );
+    }
+    // The teller stops listing it, as after a drain: the other's word still does not bring it back.
+    c.tell(
+        T + 100,
+        one,
+        whole(&names, |n| (n > 0).then_some(Word::Ready)),
+    );
+    assert!(until(&mut c, T + 100, T + 500_000).is_empty());
+    let facts = c.tell(T + 500_000, one, changes(vec![row(&names[0], Word::Ready)]));
+    assert_eq!(beliefs(&facts), [(&*names[0], Belief::Ready)]);
+}
+
+#[test]
+fn absent_from_one_and_listed_by_another_is_ready() {
+    let (mut c, one, names) = listed(4);
+    let two = c.add_source("two").unwrap();
+    c.tell(T, two, whole(&names, |_| Some(Word::Ready)));
+    assert!(
+        c.tell(
+            T + 1,
+            one,
+            whole(&names, |n| (n > 0).then_some(Word::Ready))
+        )
+        .is_empty()
+    );
+    // Failing is more than absence: it is suspect whatever the other says, and stays in use.
+    let facts = c.tell(T + 2, two, changes(vec![row(&names[1], Word::Failing)]));
+    assert_eq!(beliefs(&facts), [(&*names[1], Belief::Suspected)]);
+}
+
+#[test]
+fn the_same_identity_at_a_new_address_is_cold_there() {
+    let (mut c, source, names) = listed(10);
+    let gone = whole(&names, |n| (n != 2).then_some(Word::Ready));
+    c.tell(T + 1000, source, gone);
+    let facts = c.tell(
+        T + 3000,
+        source,
+        changes(vec![at_port(&names[2], Word::Ready, 4000)]),
+    );
+    assert_eq!(beliefs(&facts), [(&*names[2], Belief::Ready)]);
+    assert_eq!(facts[0].instance.endpoint.port(), 4000);
+    assert_eq!(facts[0].born, Some(T + 3000));
+}
+
+#[test]
+fn a_flapping_server_is_held_suspect_and_let_free_again() {
+    let (mut c, source, names) = listed(100);
+    let mut last = Vec::new();
+    for time in 0..4 {
+        let at = T + 1000 + time * 4000;
+        c.tell(at, source, changes(vec![row(&names[7], Word::Failing)]));
+        until(&mut c, at, at + 2000);
+        last = c.tell(
+            at + 2000,
+            source,
+            changes(vec![row(&names[7], Word::Ready)]),
+        );
+    }
+    // Three turns and more: its recovery is not believed at once.
+    assert!(last.is_empty(), "{last:?}");
+    let held = c.servers().find(|seen| seen.uid == names[7]).unwrap();
+    assert_eq!((held.belief, held.why), (Belief::Suspected, Why::Damped));
+    let facts = until(&mut c, T + 20_000, T + 400_000);
+    assert_eq!(facts.len(), 1);
+    assert_eq!(facts[0].1.belief, Belief::Ready);
+    // By half a minute: from over three to under one takes more than 90 s.
+    assert!((T + 100_000..T + 200_000).contains(&facts[0].0));
+    assert!(c.next_wake().is_none(), "nothing is left to look at");
+}
+
+#[test]
+fn only_drains_of_a_stale_list_count() {
+    let (mut c, source, names) = listed(10);
+    let rows = vec![
+        row(&names[0], Word::Draining),
+        row(&names[1], Word::Failing),
+        row("new", Word::Ready),
+    ];
+    let facts = c.tell(T + 1, source, Telling::Stale(rows));
+    assert_eq!(beliefs(&facts), [(&*names[0], Belief::Draining)]);
+    // Nor does a stale list take a drain back.
+    let rows = vec![row(&names[0], Word::Ready)];
+    assert!(c.tell(T + 2, source, Telling::Stale(rows)).is_empty());
+}
+
+/// What SIGHUP does under load: the old source's words stand until the new one has spoken.
+#[test]
+fn a_change_of_sources_leaves_no_moment_without_a_list() {
+    let (mut c, old, names) = listed(10);
+    let new = c.add_source("new").unwrap();
+    assert!(c.retire(T + 1, old).is_empty());
+    assert!(
+        c.tell(T + 2, old, whole(&names, |_| None)).is_empty(),
+        "its time is over"
+    );
+    assert!(c.tell(T + 3, new, Telling::Lost).is_empty());
+    let facts = c.tell(
+        T + 4,
+        new,
+        whole(&names, |n| (n < 9).then_some(Word::Ready)),
+    );
+    assert_eq!(beliefs(&facts), [(&*names[9], Belief::Suspected)]);
+    // Its place is free once nothing is left of it.
+    until(&mut c, T + 4, T + 300_000);
+    assert_eq!(c.add_source("third"), Some(old));
+}
+
+#[test]
+fn a_full_catalogue_forgets_the_longest_unlisted_and_else_refuses() {
+    let limits = Limits {
+        servers: 10,
+        ..Limits::default()
+    };
+    let mut c = Catalogue::new(limits);
+    let source = c.add_source("one").unwrap();
+    let names = names(10);
+    c.tell(T, source, whole(&names, |_| Some(Word::Ready)));
+    assert!(
+        c.tell(T + 1, source, changes(vec![row("x", Word::Ready)]))
+            .is_empty()
+    );
+    assert_eq!((c.len(), c.counts().refused), (10, 1));
+    c.tell(T + 2, source, changes(vec![row(&names[6], Word::Left)]));
+    let facts = c.tell(T + 3, source, changes(vec![row("x", Word::Ready)]));
+    let expected = [(&*names[6], Belief::Gone), ("x", Belief::Ready)];
+    assert_eq!(beliefs(&facts), expected);
+    assert_eq!((c.len(), c.counts().evicted), (10, 1));
+}
