The engine asks the catalogue; the module ranks suspects behind all that have room

Need: a told drain must bind at once and absence must move nobody who is served. Change: Notice::Sources and Notice::Told reach the catalogue, which the engine owns where it is set up; facts go to the module as a list of changes. Status::Suspected ranks a server behind all others that have room (3 lines of policy). A drain calls back attempts that have sent nothing yet; clients at an address that a server has left stay as long as an absence may last. Off by default: the proxy's lists go straight to the module as before.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -86,6 +86,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Status {
     Up,
+    /// Whoever lists servers doubts that it is there: nothing new goes to it while others have room.
+    Suspected,
     Draining,
     Gone,
 }
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -32,6 +32,8 @@
 const PROBE_BUDGET: f64 = 0.01;
 /// A report may show the state of so long ago; own placements since then are added to it.
 const REPORT_AGE: Secs = 2.0;
+/// By this much load a server that the list doubts ranks behind all others that have room.
+const DOUBT: f64 = 1e6;
 /// Load that a price of one for a zone crossing is worth.
 const CROSS_LOAD: f64 = 6.0;
 /// Connections' worth of load that a group is taken to cost on each server that holds any of it.
@@ -519,10 +521,11 @@
         f64::from(brings) * GROUP_COST * self.state.mean_load()
     }
 
-    /// What else counts against a server: failures, and the price of another zone.
+    /// What else counts against a server: doubt, failures, and the price of another zone.
     fn surcharge(&self, server: &Server) -> f64 {
         let crosses = f64::from(server.elsewhere(self.set.zone));
-        crosses * CROSS_LOAD * self.set.price_cross_zone
+        f64::from(server.doubted()) * DOUBT
+            + crosses * CROSS_LOAD * self.set.price_cross_zone
             + server.errors.get(self.state.now, FORGIVE)
     }
 
@@ -567,7 +570,7 @@
         let fits = |s: &Server| self.load_after(conn, s, crowd) < limit;
         let servers = self.state.first_of(key, CANDIDATES);
         let mut servers = servers.map(|(_, id)| &self.state.servers[&id]);
-        let room = servers.any(|s| self.open(s) && !s.suspect && fits(s));
+        let room = servers.any(|s| self.open(s) && !s.suspect && !s.doubted() && fits(s));
         let many = by_load && load_now > DROWNING;
         if !room && !many {
             return;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -60,10 +60,16 @@
 }
 
 impl Server {
+    /// Whether it may be given connections at all.
     pub fn up(&self) -> bool {
-        self.entry
-            .as_ref()
-            .is_some_and(|entry| entry.status == Status::Up)
+        let status = self.entry.as_ref().map(|entry| entry.status);
+        matches!(status, Some(Status::Up | Status::Suspected))
+    }
+
+    /// Whether the list doubts that it is there.
+    pub fn doubted(&self) -> bool {
+        let status = self.entry.as_ref().map(|entry| entry.status);
+        status == Some(Status::Suspected)
     }
 
     /// Counts a placement. Where no report ever ends the count, old ones are forgotten.
--- a/crates/catalogue/src/view.rs
+++ b/crates/catalogue/src/view.rs
@@ -231,6 +231,10 @@
         })
     }
 
+    pub fn knows(&self, uid: &str) -> bool {
+        self.servers.contains_key(uid)
+    }
+
     pub fn len(&self) -> usize {
         self.servers.len()
     }
--- a/crates/engine/src/clock.rs
+++ b/crates/engine/src/clock.rs
@@ -1,6 +1,6 @@
 //! One clock: Unix time at the start, and from there on only forward.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::time::Instant;
 use violetwind_balancer::api::Secs;
@@ -34,6 +34,12 @@
     pub fn at(&self, moment: Instant) -> Secs {
         self.unix + moment.saturating_duration_since(self.start).as_secs_f64()
     }
+
+    /// The moment of a Unix time in milliseconds; the start for one before it.
+    pub fn moment(&self, unix_ms: u64) -> Instant {
+        let since = (unix_ms as Secs / 1e3 - self.unix).clamp(0.0, 1e9);
+        self.start + Duration::from_secs_f64(since)
+    }
 }
 
 impl Default for Clock {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
@@ -12,18 +13,38 @@
 use violetwind_balancer::api::{
     Action, Entry, Event, ListKind, Outcome, Report, RequestId, ServerId, Settings, Status,
 };
+use violetwind_catalogue::{Instance, Telling, Word};
 use violetwind_common::{Names, server_id};
 
 use crate::clock::Clock;
 use crate::limits::Limits;
+use crate::members::Members;
 use crate::spread::Spread;
 use crate::words::{Listed, Notice, Order};
 
+/// The name under which the list of the last run is weighed.
+const LAST_RUN: &str = "last run";
+
 #[derive(Debug)]
 struct Conn {
     orders: mpsc::Sender<Order>,
+    /// Where its attempt is out.
+    out: Option<ServerId>,
     /// The server that it is up on.
     on: Option<ServerId>,
+    /// The address that it was last sent to.
+    at: Option<SocketAddr>,
+}
+
+impl Conn {
+    fn new(orders: mpsc::Sender<Order>) -> Self {
+        Self {
+            orders,
+            out: None,
+            on: None,
+            at: None,
+        }
+    }
 }
 
 /// Who asks servers for their load; the answers come back as notices.
@@ -39,6 +60,8 @@
     pub seed: u64,
     pub names: Names,
     pub limits: Limits,
+    /// With these, lists come from sources that a catalogue weighs; without, as [`Notice::List`].
+    pub catalogue: Option<violetwind_catalogue::Limits>,
 }
 
 pub struct Engine<P> {
@@ -49,12 +72,15 @@
     balancer: Balancer,
     actions: Vec<Action>,
     probes: P,
+    members: Option<Members>,
     conns: HashMap<RequestId, Conn>,
     /// Where each server is reached, with the identity behind its number.
     addresses: HashMap<ServerId, (String, SocketAddr)>,
     on_server: HashMap<ServerId, BTreeSet<RequestId>>,
     draining: BTreeMap<ServerId, Spread>,
     leaving: Option<Spread>,
+    /// Connections to addresses that their servers have left.
+    strays: Vec<Spread>,
     timers: BinaryHeap<Reverse<(Instant, u64)>>,
     next_spread: Option<Instant>,
 }
@@ -69,11 +95,13 @@
             clock,
             actions: Vec::new(),
             probes,
+            members: setup.catalogue.map(Members::new),
             conns: HashMap::new(),
             addresses: HashMap::new(),
             on_server: HashMap::new(),
             draining: BTreeMap::new(),
             leaving: None,
+            strays: Vec::new(),
             timers: BinaryHeap::new(),
             next_spread: None,
         }
@@ -99,7 +127,7 @@
             tokio::select! {
                 notice = inbox.recv() => match notice {
                     Some(notice) => {
-                        let listed = matches!(notice, Notice::List(..));
+                        let listed = matches!(notice, Notice::List(..) | Notice::Told(_, Telling::Whole(_)));
                         self.take(Instant::now(), notice);
                         if listed {
                             ready.send_replace(true);
@@ -116,13 +144,22 @@
     pub fn start(&mut self, now: Instant, known: Vec<Listed>) {
         self.now = now;
         self.handle(Event::Start);
-        self.list(ListKind::Restored, known);
+        if self.members.is_none() {
+            return self.list(ListKind::Restored, known);
+        }
+        // The last run is a source whose word stands until the others have spoken.
+        let last: Rc<str> = LAST_RUN.into();
+        self.take(now, Notice::Sources(vec![last.clone()]));
+        let rows = known.into_iter().filter_map(catalogue_row).collect();
+        self.take(now, Notice::Told(last, Telling::Whole(rows)));
     }
 
     /// When it wants to be woken.
     pub fn next_wake(&self) -> Option<Instant> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
-        [timer, self.next_spread].into_iter().flatten().min()
+        let look = self.members.as_ref().and_then(Members::next_wake);
+        let look = look.map(|at| self.clock.moment(at));
+        [timer, self.next_spread, look].into_iter().flatten().min()
     }
 
     pub fn wake(&mut self, now: Instant) {
@@ -136,6 +173,33 @@
         if self.next_spread.is_some_and(|at| at <= now) {
             self.spread_moves(now);
         }
+        let due = self.members.as_ref().and_then(Members::next_wake);
+        if due.is_some_and(|at| self.clock.moment(at) <= now) {
+            self.weigh(|members, now| members.wake(now));
+        }
+    }
+
+    /// Asks the catalogue, and takes what changes by it as a list of changes.
+    fn weigh(&mut self, ask: impl FnOnce(&mut Members, u64) -> Vec<Listed>) {
+        let now = (self.clock.at(self.now) * 1e3) as u64;
+        let rows = match &mut self.members {
+            Some(members) => ask(members, now),
+            None => return,
+        };
+        if !rows.is_empty() {
+            self.list(ListKind::Update, rows);
+        }
+    }
+
+    /// Lets the catalogue know whether a server answered.
+    fn heard_of(&mut self, server: ServerId, answered: bool) {
+        if self.members.is_none() {
+            return;
+        }
+        if let Some((uid, _)) = self.addresses.get(&server) {
+            let uid = uid.clone();
+            self.weigh(|members, now| members.heard_of(now, &uid, answered));
+        }
     }
 
     /// Takes one notice, and gives its orders before it returns.
@@ -143,10 +207,13 @@
         self.now = now;
         match notice {
             Notice::List(kind, rows) => self.list(kind, rows),
+            Notice::Sources(names) => self.weigh(|members, now| members.set_sources(now, &names)),
+            Notice::Told(name, telling) => {
+                self.weigh(|members, now| members.tell(now, &name, telling));
+            }
             Notice::ListLost => self.handle(Event::Servers(ListKind::Unavailable, Vec::new())),
             Notice::Request(request, orders) => {
-                let conn = Conn { orders, on: None };
-                self.conns.insert(request.id, conn);
+                self.conns.insert(request.id, Conn::new(orders));
                 self.handle(Event::Request(request));
             }
             Notice::Standing(id, uid, orders) => {
@@ -159,7 +226,11 @@
                     },
                     None => Order::NotYet,
                 };
-                self.conns.insert(id, Conn { orders, on: None });
+                let mut conn = Conn::new(orders);
+                if let Order::Send { endpoint, .. } = order {
+                    conn.at = Some(endpoint);
+                }
+                self.conns.insert(id, conn);
                 self.order(id, order);
             }
             Notice::Stands(request, server) => {
@@ -169,12 +240,20 @@
             Notice::Up(id, server) => {
                 self.up(id, server);
                 self.handle(Event::Begun(id, server));
+                self.heard_of(server, true);
             }
             Notice::Ended(ended) => {
                 if ended.last {
                     self.forget(ended.id);
+                } else if let Some(conn) = self.conns.get_mut(&ended.id) {
+                    conn.out = None;
                 }
+                let unreached = ended.outcome == Outcome::ConnectFailed;
+                let server = ended.server;
                 self.handle(Event::Outcome(ended));
+                if unreached {
+                    self.heard_of(server, false);
+                }
             }
             Notice::Gone(id) => {
                 self.forget(id);
@@ -186,9 +265,18 @@
                 // To the module a server that leaves lines unanswered is as one that leaves probes.
                 let outcome = Outcome::TimedOut;
                 self.handle(Event::Probed(server, outcome, Report::default()));
+                self.heard_of(server, false);
             }
             Notice::Probed(server, outcome, report) => {
                 self.handle(Event::Probed(server, outcome, report));
+                match outcome {
+                    Outcome::Ok | Outcome::Full | Outcome::Error => self.heard_of(server, true),
+                    Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Reset => {
+                        self.heard_of(server, false);
+                    }
+                    // It was never asked.
+                    Outcome::Cancelled | Outcome::NotSent => {}
+                }
             }
             Notice::Shutdown => {
                 let left: Vec<RequestId> = self.on_server.values().flatten().copied().collect();
@@ -203,6 +291,7 @@
 
     fn up(&mut self, id: RequestId, server: ServerId) {
         if let Some(conn) = self.conns.get_mut(&id) {
+            conn.out = None;
             conn.on = Some(server);
             self.on_server.entry(server).or_default().insert(id);
             if let Some(leaving) = &mut self.leaving {
@@ -215,8 +304,13 @@
 
     fn forget(&mut self, id: RequestId) {
         let on = self.conns.remove(&id).and_then(|conn| conn.on);
-        if let Some(ids) = on.and_then(|server| self.on_server.get_mut(&server)) {
+        if let Some(server) = on
+            && let Some(ids) = self.on_server.get_mut(&server)
+        {
             ids.remove(&id);
+            if ids.is_empty() {
+                self.on_server.remove(&server);
+            }
         }
     }
 
@@ -235,7 +329,10 @@
             }
             if let Some(endpoint) = listed.endpoint {
                 let address = (listed.uid.clone(), endpoint);
-                self.addresses.insert(server, address);
+                let old = self.addresses.insert(server, address);
+                if let Some((_, old)) = old.filter(|(_, old)| *old != endpoint) {
+                    self.left_behind(server, old);
+                }
             }
             entries.push(listed.row.entry(&self.names));
             self.note_status(server, status);
@@ -251,13 +348,35 @@
         self.handle(Event::Servers(kind, entries));
     }
 
+    /// A server is told at a new address. Its clients at the old one stay while that answers, for as
+    /// long as an absence may last.
+    fn left_behind(&mut self, server: ServerId, old: SocketAddr) {
+        let Some(members) = &self.members else { return };
+        let stays = Duration::from_millis(members.absent_for());
+        let at_old = |id: &&RequestId| self.conns.get(id).is_some_and(|c| c.at == Some(old));
+        let on = self.on_server.get(&server).into_iter().flatten();
+        let left: Vec<RequestId> = on.filter(at_old).copied().collect();
+        if left.is_empty() {
+            return;
+        }
+        let uid = self.addresses.get(&server).map(|(uid, _)| uid);
+        info!(uid, %old, connections = left.len(), "a server has another address");
+        let from = self.now + stays;
+        let until = from + self.limits.drain_span;
+        self.strays.push(Spread::new(left, from, until));
+        self.next_spread = Some(self.now);
+    }
+
     /// Has the clients of a server that leaves moved, before it goes.
     fn note_status(&mut self, server: ServerId, status: Status) {
-        if status == Status::Up {
+        if matches!(status, Status::Up | Status::Suspected) {
             self.draining.remove(&server);
-        } else if !self.draining.contains_key(&server) && self.leaving.is_none() {
+            return;
+        }
+        if !self.draining.contains_key(&server) && self.leaving.is_none() {
             let left = self.on_server.get(&server).into_iter().flatten();
             let left: Vec<RequestId> = left.copied().collect();
+            self.recall(server);
             let uid = self.addresses.get(&server).map(|(uid, _)| uid);
             info!(uid, ?status, connections = left.len(), "a server leaves");
             // A server that is gone already has no time to wait for.
@@ -269,6 +388,20 @@
             let until = from + self.limits.drain_span;
             self.draining.insert(server, Spread::new(left, from, until));
             self.next_spread = Some(self.now);
+        } else if status == Status::Gone
+            && self.members.is_some()
+            && let Some(spread) = self.draining.get_mut(&server)
+        {
+            // It drained, and does not answer any more: no time is left to wait for.
+            spread.hasten(self.now, self.limits.drain_span);
+        }
+    }
+
+    /// Attempts that have not sent anything to a server that leaves go elsewhere.
+    fn recall(&mut self, server: ServerId) {
+        for conn in self.conns.values().filter(|conn| conn.out == Some(server)) {
+            // One that has just ended needs no word, and one that takes none has its deadline.
+            let _ = conn.orders.try_send(Order::Recall);
         }
     }
 
@@ -277,6 +410,7 @@
         let tick = self.limits.spread_tick;
         let mut due = Vec::new();
         let spreads = self.draining.values_mut().chain(&mut self.leaving);
+        let spreads = spreads.chain(&mut self.strays);
         let mut busy = false;
         for spread in spreads {
             busy |= !spread.left.is_empty() || now < spread.until;
@@ -285,6 +419,8 @@
             }
             due.extend(spread.due(now));
         }
+        self.strays.retain(|spread| !spread.left.is_empty());
+        self.forget_gone(now);
         for id in due {
             self.order(id, Order::Move);
         }
@@ -292,6 +428,22 @@
         self.next_spread = on.then(|| now + tick);
     }
 
+    /// Where a catalogue remembers servers, those that are gone with all their clients are forgotten here.
+    fn forget_gone(&mut self, now: Instant) {
+        let Some(members) = &self.members else { return };
+        let (on_server, addresses) = (&self.on_server, &mut self.addresses);
+        self.draining.retain(|server, spread| {
+            let over = spread.left.is_empty() && spread.until <= now;
+            let known = |(uid, _): &(String, SocketAddr)| members.knows(uid);
+            let listed = addresses.get(server).is_some_and(known);
+            let stays = !over || listed || on_server.contains_key(server);
+            if !stays {
+                addresses.remove(server);
+            }
+            stays
+        });
+    }
+
     /// Hands an event to the module and carries out what it says.
     fn handle(&mut self, event: Event) {
         trace!(?event);
@@ -317,6 +469,9 @@
                     endpoint,
                     within,
                 };
+                if let Some(conn) = self.conns.get_mut(&id) {
+                    (conn.out, conn.at) = (Some(server), Some(endpoint));
+                }
                 self.order(id, order);
             }
             Action::Refuse(id, wait) => self.answer(id, Order::Refuse(wait)),
@@ -355,3 +510,29 @@
         }
     }
 }
+
+/// A row of a list as a source's word.
+pub fn catalogue_row(listed: Listed) -> Option<violetwind_catalogue::Row> {
+    let row = listed.row;
+    let word = match row.status {
+        Status::Up => Word::Ready,
+        Status::Suspected => Word::Failing,
+        Status::Draining => Word::Draining,
+        Status::Gone => Word::Left,
+    };
+    let instance = listed.endpoint.map(|endpoint| Instance {
+        endpoint,
+        zone: row.zone.map(Into::into),
+        kind: row.kind.map(Into::into),
+        cell: row.cell,
+        size: row.rating,
+        born: row.born.filter(|at| *at > 0.0).map(|at| (at * 1e3) as u64),
+        epoch: 0,
+    });
+    // Only what has left needs no address.
+    (instance.is_some() || word == Word::Left).then(|| violetwind_catalogue::Row {
+        uid: listed.uid.into(),
+        word,
+        instance,
+    })
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,10 +7,11 @@
 mod clock;
 mod engine;
 mod limits;
+mod members;
 mod spread;
 mod words;
 
 pub use clock::Clock;
-pub use engine::{Engine, Probe, Setup};
+pub use engine::{Engine, Probe, Setup, catalogue_row};
 pub use limits::Limits;
 pub use words::{Listed, Notice, Order};
--- /dev/null
+++ b/crates/engine/src/members.rs
@@ -0,0 +1,177 @@
+//! The sources by name, the catalogue that weighs them, and what the log says of both.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use tracing::{info, warn};
+use violetwind_balancer::api::{Secs, ServerId, Status};
+use violetwind_catalogue::{Belief, Catalogue, Counts, Fact, Limits, Millis, SourceId, Telling};
+use violetwind_common::{Row, server_id};
+
+use crate::words::Listed;
+
+/// A source that is silent is told of after this, and again each time that has doubled.
+const SILENT_FROM: Millis = 10_000;
+
+#[derive(Debug)]
+pub(crate) struct Members {
+    catalogue: Catalogue,
+    sources: BTreeMap<Rc<str>, Named>,
+    counts: Counts,
+}
+
+#[derive(Debug)]
+struct Named {
+    id: SourceId,
+    /// The age of its list at which the log tells of its silence next.
+    next_note: Millis,
+    doubted: bool,
+}
+
+impl Members {
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            catalogue: Catalogue::new(limits),
+            sources: BTreeMap::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn absent_for(&self) -> Millis {
+        self.catalogue.limits().absent_for
+    }
+
+    /// The sources that count from now on; words of others stand until these have spoken.
+    pub fn set_sources(&mut self, now: Millis, names: &[Rc<str>]) -> Vec<Listed> {
+        for name in names {
+            if self.sources.contains_key(name) {
+                continue;
+            }
+            match self.catalogue.add_source(name) {
+                Some(id) => {
+                    let named = Named {
+                        id,
+                        next_note: SILENT_FROM,
+                        doubted: false,
+                    };
+                    self.sources.insert(name.clone(), named);
+                }
+                None => warn!(%name, "too many sources: this one is not heard"),
+            }
+        }
+        let mut facts = Vec::new();
+        let old = self.sources.extract_if(.., |name, _| !names.contains(name));
+        for (name, named) in old.collect::<Vec<_>>() {
+            info!(%name, "a source is let go once all others have spoken");
+            facts.extend(self.catalogue.retire(now, named.id));
+        }
+        self.rows(facts)
+    }
+
+    /// What a source says; one that is not among the sources is not heard.
+    pub fn tell(&mut self, now: Millis, name: &str, telling: Telling) -> Vec<Listed> {
+        let Some(named) = self.sources.get(name) else {
+            return Vec::new();
+        };
+        let facts = self.catalogue.tell(now, named.id, telling);
+        self.notes(now);
+        self.rows(facts)
+    }
+
+    pub fn heard_of(&mut self, now: Millis, uid: &str, answered: bool) -> Vec<Listed> {
+        let facts = self.catalogue.heard_of(now, uid, answered);
+        self.rows(facts)
+    }
+
+    pub fn next_wake(&self) -> Option<Millis> {
+        self.catalogue.next_wake()
+    }
+
+    pub fn wake(&mut self, now: Millis) -> Vec<Listed> {
+        let facts = self.catalogue.wake(now);
+        self.notes(now);
+        self.rows(facts)
+    }
+
+    pub fn knows(&self, uid: &str) -> bool {
+        self.catalogue.knows(uid)
+    }
+
+    /// Tells the log of sources that are silent or doubted, and of what found no room.
+    fn notes(&mut self, now: Millis) {
+        for source in self.catalogue.sources() {
+            let Some(named) = self.sources.get_mut(source.name) else {
+                continue;
+            };
+            let silent = source.lost_since.map(|at| now.saturating_sub(at));
+            match silent {
+                Some(silent) if silent >= named.next_note => {
+                    named.next_note = silent.saturating_mul(2);
+                    let age = source.answered.map(|at| now.saturating_sub(at) / 1000);
+                    warn!(
+                        source = source.name,
+                        silent_s = silent / 1000,
+                        age_s = age,
+                        "a source is silent: its last list stays in force"
+                    );
+                }
+                None if named.next_note > SILENT_FROM => {
+                    named.next_note = SILENT_FROM;
+                    info!(source = source.name, "a source answers again");
+                }
+                _ => {}
+            }
+            let doubted = source.doubted_since.is_some();
+            if std::mem::replace(&mut named.doubted, doubted) != doubted {
+                match doubted {
+                    true => warn!(
+                        source = source.name,
+                        listed = source.listed,
+                        "a source lost too much at once and is doubted"
+                    ),
+                    false => info!(source = source.name, "a source is trusted again"),
+                }
+            }
+        }
+        let counts = self.catalogue.counts();
+        if counts.refused != self.counts.refused || counts.evicted != self.counts.evicted {
+            warn!(
+                refused = counts.refused,
+                evicted = counts.evicted,
+                "the catalogue is full"
+            );
+        }
+        self.counts = counts;
+    }
+
+    /// Facts as rows of a list of changes.
+    fn rows(&self, facts: Vec<Fact>) -> Vec<Listed> {
+        facts.into_iter().map(row).collect()
+    }
+}
+
+fn row(fact: Fact) -> Listed {
+    let instance = fact.instance;
+    if fact.belief != Belief::Ready {
+        info!(uid = &*fact.uid, belief = ?fact.belief, why = %fact.why, "a server");
+    }
+    let server: ServerId = server_id(&fact.uid);
+    Listed {
+        endpoint: Some(instance.endpoint),
+        row: Row {
+            server,
+            cell: instance.cell,
+            status: match fact.belief {
+                Belief::Ready => Status::Up,
+                Belief::Suspected => Status::Suspected,
+                Belief::Draining => Status::Draining,
+                Belief::Gone => Status::Gone,
+            },
+            kind: instance.kind.map(String::from),
+            zone: instance.zone.map(String::from),
+            born: fact.born.map(|ms| ms as Secs / 1e3),
+            rating: instance.size,
+        },
+        uid: fact.uid.into(),
+    }
+}
--- a/crates/engine/src/spread.rs
+++ b/crates/engine/src/spread.rs
@@ -31,4 +31,11 @@
         let stay = (self.most as f64 * rest) as usize;
         self.left.drain(stay.min(self.left.len())..)
     }
+
+    /// Begins at once and takes no longer than this.
+    pub fn hasten(&mut self, now: Instant, span: std::time::Duration) {
+        if self.from > now {
+            (self.from, self.until) = (now, now + span);
+        }
+    }
 }
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -1,12 +1,14 @@
 //! What the engine hears and says, in words that are no protocol's.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
 use violetwind_balancer::api::{
     Ended, ListKind, Outcome, Report, Request, RequestId, Secs, ServerId,
 };
+use violetwind_catalogue::Telling;
 use violetwind_common::Row;
 
 /// One row of a list with what the module does not need.
@@ -21,8 +23,13 @@
 /// What fronts and sources tell the engine.
 #[derive(Debug)]
 pub enum Notice {
+    /// A list that is taken as it is told, where no catalogue stands between.
     List(ListKind, Vec<Listed>),
     ListLost,
+    /// The sources that count from now on, by name, those that go before others first.
+    Sources(Vec<Rc<str>>),
+    /// What one of them says.
+    Told(Rc<str>, Telling),
     /// A client's request, with the way to its connection.
     Request(Request, mpsc::Sender<Order>),
     /// One that stood at this server before the start, and the word that it is up there again.
@@ -49,6 +56,8 @@
         endpoint: SocketAddr,
         within: Duration,
     },
+    /// The server of the attempt that is out drains: it gives up if nothing was sent yet.
+    Recall,
     /// The server of a standing connection is not known yet.
     NotYet,
     Refuse(Option<Secs>),
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -94,6 +94,7 @@
         seed: config.seed,
         names: config.names.clone(),
         limits: limits.engine.clone(),
+        catalogue: None,
     };
     let probes = Probes::new(limits.clone(), reports, notices.clone());
     let engine = Engine::new(setup, Clock::new(), probes);
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -1,5 +1,6 @@
 //! Stage three: asks the module, does as it says, and gives the client its one answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use tokio::sync::mpsc;
@@ -99,7 +100,7 @@
             Some(Order::Refuse(wait)) => return Answer::Refused(wait),
             Some(Order::Fail) | None => return Answer::Failed,
             // Nothing is out that could be called off or moved.
-            Some(Order::Cancel | Order::Move) => continue,
+            Some(Order::Cancel | Order::Recall | Order::Move) => continue,
             Some(Order::NotYet) => {
                 sleep(limits.standing_again).await;
                 booking.tell(ask()).await;
@@ -107,11 +108,13 @@
             }
         };
         let left = admitted.deadline.saturating_duration_since(Instant::now());
-        let attempt = send::attempt(endpoint, admitted.open, within.min(left), limits);
+        let recalled = Cell::new(false);
+        let within = within.min(left);
+        let attempt = send::attempt(endpoint, admitted.open, within, &recalled, limits);
         let attempt = tokio::select! {
             attempt = attempt => attempt,
             answer = client_first(client) => return answer,
-            () = called_off(orders) => Attempt::Failed(Outcome::Cancelled, Default::default()),
+            () = called_off(orders, &recalled) => Attempt::Failed(Outcome::Cancelled, Default::default()),
         };
         match attempt {
             // Bytes may have come together with the server's answer.
@@ -151,11 +154,12 @@
     }
 }
 
-/// Returns when the module calls the attempt off.
-async fn called_off(orders: &mut mpsc::Receiver<Order>) {
+/// Returns when the module calls the attempt off; notes that its server drains.
+async fn called_off(orders: &mut mpsc::Receiver<Order>, recalled: &Cell<bool>) {
     loop {
         match orders.recv().await {
             Some(Order::Cancel) | None => return,
+            Some(Order::Recall) => recalled.set(true),
             // Nothing else is said while an attempt is out.
             Some(order) => warn!(?order, "out of turn"),
         }
--- a/crates/proxy/src/send.rs
+++ b/crates/proxy/src/send.rs
@@ -1,5 +1,6 @@
 //! Stage four: one attempt at one server, from the connect to the server's first line.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,11 +32,13 @@
 }
 
 /// Sends the client's line to a server and waits for what comes back. Dropping the future closes
-/// the connection, which gives the attempt up.
+/// the connection, which gives the attempt up. One that was recalled before it had a connection sends
+/// nothing: a server that drains is given nothing new.
 pub async fn attempt(
     endpoint: SocketAddr,
     open: &Open<'_>,
     within: Duration,
+    recalled: &Cell<bool>,
     limits: &Limits,
 ) -> Attempt {
     let start = Instant::now();
@@ -45,6 +48,9 @@
     let Ok(Ok(mut stream)) = timeout_at(until.min(start + limits.connect), connect).await else {
         return failed(Outcome::ConnectFailed);
     };
+    if recalled.get() {
+        return failed(Outcome::NotSent);
+    }
     let _ = stream.set_nodelay(true);
     let left = until.saturating_duration_since(Instant::now());
     let line = open.waiting(left.as_millis() as u64);
