Stand-ins are a crate of their own, with a Consul that lies and stalls on command

Need: the Consul source, the lab and every later subsystem need shared stand-ins; the proxy's stood in its test folder. Change: crates/standins holds peers, servers, discovery and vanished machines as they were, and a Consul written from its public HTTP API: blocking queries, indexes, checks, maintenance, data centres, tokens, and moods from 429 to a body without end. It runs by hand as violetwind-standin-consul.

--- a/crates/proxy/tests/bad_clients.rs
+++ b/crates/proxy/tests/bad_clients.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Peer, Proxy, Server, one_server, without_loads};
+use common::{Answers, Discovery, End, Peer, Proxy, Server, one_server, without_loads};
 use serde_json::json;
 
 /// A bad client is owed an answer or a close so long after it connected.
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -1,416 +1,19 @@
-//! Small stand-ins for what surrounds a proxy: clients, servers and discovery on free ports of the
-//! loopback network, and the program itself. Nothing here decides whether a test passes.
-#![allow(dead_code)] // each test file uses its part
+//! The program under test, and the stand-ins round it. Nothing here decides whether a test passes.
+#![allow(dead_code, unused_imports)] // each test file uses its part
 
-use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, ErrorKind, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, mpsc};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-
-/// Far longer than anything should take: a wait that long is a failure.
-pub const PATIENCE: Duration = Duration::from_secs(15);
-
-/// How a connection ended.
-#[derive(Debug, PartialEq, Eq)]
-pub enum End {
-    Closed,
-    Reset,
-}
-
-/// One side of a conversation in lines.
-#[derive(Debug)]
-pub struct Peer {
-    reader: BufReader<TcpStream>,
-}
-
-impl Peer {
-    pub fn new(stream: TcpStream) -> Self {
-        stream.set_nodelay(true).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Self {
-            reader: BufReader::new(stream),
-        }
-    }
-
-    pub fn connect(to: SocketAddr) -> Self {
-        Self::new(TcpStream::connect(to).unwrap())
-    }
-
-    pub fn say(&mut self, line: &str) {
-        self.send(format!("{line}\r\n").as_bytes());
-    }
-
-    pub fn send(&mut self, bytes: &[u8]) {
-        self.reader.get_mut().write_all(bytes).unwrap();
-    }
-
-    /// The next line without its end, or how the connection ended.
-    pub fn try_hear(&mut self) -> Result<String, End> {
-        let mut line = String::new();
-        match self.reader.read_line(&mut line) {
-            Ok(0) => Err(End::Closed),
-            Ok(_) => {
-                let text = line.strip_suffix("\r\n");
-                Ok(text.unwrap_or_else(|| panic!("no CRLF: {line:?}")).into())
-            }
-            Err(error) if error.kind() == ErrorKind::ConnectionReset => Err(End::Reset),
-            Err(error) => panic!("nothing came: {error}"),
-        }
-    }
-
-    pub fn hear(&mut self) -> String {
-        self.try_hear().expect("a line")
-    }
-
-    /// How the connection ends, with nothing more before that.
-    pub fn end(&mut self) -> End {
-        self.try_hear().expect_err("the end")
-    }
-
-    /// Whether something comes within such a time.
-    pub fn quiet_for(&mut self, time: Duration) -> bool {
-        let stream = self.reader.get_ref();
-        stream.set_read_timeout(Some(time)).unwrap();
-        let got = self.reader.fill_buf().map(<[u8]>::len);
-        let stream = self.reader.get_ref();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        matches!(got, Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
-    }
-
-    /// Waits until something has come, and leaves it unread.
-    pub fn wait_unread(&self) {
-        assert!(self.reader.get_ref().peek(&mut [0]).unwrap() > 0);
-    }
-
-    pub fn end_sending(&self) {
-        self.reader.get_ref().shutdown(Shutdown::Write).unwrap();
-    }
-
-    /// Sends bytes until the other side takes no more, or so many are through.
-    pub fn flood(&mut self, bytes: &[u8], within: Duration) -> usize {
-        let stream = self.reader.get_mut();
-        stream.set_write_timeout(Some(within)).unwrap();
-        let mut sent = 0;
-        while sent < bytes.len() {
-            match stream.write(&bytes[sent..]) {
-                Ok(count) => sent += count,
-                Err(_) => break,
-            }
-        }
-        sent
-    }
-}
-
-/// A machine that takes no connection and refuses none: its queue of new ones is full.
-pub struct Vanished {
-    pub addr: SocketAddr,
-    _listener: socket2::Socket,
-    _queue: Vec<socket2::Socket>,
-}
-
-impl Vanished {
-    pub fn start() -> Self {
-        use socket2::{Domain, Socket, Type};
-        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        listener.bind(&any.into()).unwrap();
-        listener.listen(0).unwrap();
-        let addr = listener.local_addr().unwrap().as_socket().unwrap();
-        let fill = |_| {
-            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-            socket.set_nonblocking(true).unwrap();
-            // It comes up or hangs; either fills the queue.
-            let _ = socket.connect(&addr.into());
-            socket
-        };
-        Self {
-            addr,
-            _listener: listener,
-            _queue: (0..4).map(fill).collect(),
-        }
-    }
-}
-
-/// What a server answers a probe with, nothing if it is silent, and whether it has answered any.
-#[derive(Debug, Default)]
-struct Probes {
-    state: Mutex<(Option<String>, bool)>,
-    changed: Condvar,
-}
-
-/// A server that answers probes by itself and hands every `OPEN` to the test.
-pub struct Server {
-    pub addr: SocketAddr,
-    pub uid: String,
-    opened: mpsc::Receiver<(String, Peer)>,
-    probes: Arc<Probes>,
-}
-
-impl Server {
-    pub fn start(uid: &str) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
-        let (opens, opened) = mpsc::channel();
-        let probes = Arc::new(Probes::default());
-        probes.state.lock().unwrap().0 = Some("PONG x0=0.10".to_string());
-        let answer = probes.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (opens, answer) = (opens.clone(), answer.clone());
-                thread::spawn(move || Self::talk(Peer::new(stream), &opens, &answer));
-            }
-        });
-        Self {
-            addr,
-            uid: uid.to_string(),
-            opened,
-            probes,
-        }
-    }
-
-    fn talk(mut peer: Peer, opens: &mpsc::Sender<(String, Peer)>, probes: &Probes) {
-        peer.reader.get_ref().set_read_timeout(None).unwrap();
-        while let Ok(line) = peer.try_hear() {
-            if line.starts_with("OPEN ") {
-                peer.reader
-                    .get_ref()
-                    .set_read_timeout(Some(PATIENCE))
-                    .unwrap();
-                // A test that is over needs no more connections.
-                let _ = opens.send((line, peer));
-                return;
-            }
-            let answer = probes.state.lock().unwrap().0.clone();
-            if let Some(answer) = answer {
-                peer.say(&answer);
-                probes.state.lock().unwrap().1 = true;
-                probes.changed.notify_all();
-            }
-        }
-    }
-
-    /// The next connection that a client wants, with its first line.
-    pub fn opened(&self) -> (String, Peer) {
-        self.opened.recv_timeout(PATIENCE).expect("an OPEN")
-    }
-
-    /// The next connection, or none as soon as `answered` says that the client got an answer.
-    pub fn opened_or(&self, mut answered: impl FnMut() -> bool) -> Option<(String, Peer)> {
-        let until = Instant::now() + PATIENCE;
-        loop {
-            if let Ok(opened) = self.opened.try_recv() {
-                return Some(opened);
-            }
-            if answered() {
-                return None;
-            }
-            assert!(Instant::now() < until, "neither an OPEN nor an answer");
-        }
-    }
-
-    pub fn nothing_opened(&self) -> bool {
-        self.opened.try_recv().is_err()
-    }
-
-    pub fn answer_probes(&self, with: Option<&str>) {
-        self.probes.state.lock().unwrap().0 = with.map(str::to_string);
-    }
-
-    /// Waits until a probe is answered, and until the proxy has read the answer: it serves in turn,
-    /// so the second of two calls that come after the answer finds it read.
-    pub fn wait_probed(&self, by: &Proxy) {
-        let state = self.probes.state.lock().unwrap();
-        let changed = &self.probes.changed;
-        let wait = changed.wait_timeout_while(state, PATIENCE, |(_, answered)| !*answered);
-        assert!(!wait.unwrap().1.timed_out(), "no probe");
-        assert!(by.pong() && by.pong());
-    }
-
-    pub fn target(&self, state: &str) -> Value {
-        target(&self.uid, &self.addr.to_string(), state)
-    }
-}
-
-pub fn target(uid: &str, endpoint: &str, state: &str) -> Value {
-    json!({"uid": uid, "endpoint": endpoint, "az": "a", "model": "m", "pod_group": 0,
-           "state": state, "capacity_hint": 1.0, "boot_ms": 0})
-}
-
-/// How discovery deals with a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mood {
-    Works,
-    Refuses,
-    Resets,
-    Hangs,
-    Garbles,
-    /// Answers, and ends the connection after each answer.
-    Closes,
-}
-
-#[derive(Debug)]
-struct Registry {
-    rev: u64,
-    targets: BTreeMap<String, (u64, Value)>,
-    mood: Mood,
-    /// The next answer is a whole list, as after a gap.
-    whole: bool,
-    calls: Vec<(Instant, String)>,
-    answered: Vec<Instant>,
-}
-
-/// Discovery, with a list that the test changes.
-#[derive(Clone)]
-pub struct Discovery {
-    pub addr: SocketAddr,
-    state: Arc<(Mutex<Registry>, Condvar)>,
-}
-
-impl Discovery {
-    pub fn start(targets: &[Value]) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let registry = Registry {
-            rev: 0,
-            targets: BTreeMap::new(),
-            mood: Mood::Works,
-            whole: false,
-            calls: Vec::new(),
-            answered: Vec::new(),
-        };
-        let discovery = Self {
-            addr: listener.local_addr().unwrap(),
-            state: Arc::new((Mutex::new(registry), Condvar::new())),
-        };
-        for target in targets {
-            discovery.tell(target.clone());
-        }
-        let of_thread = discovery.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let discovery = of_thread.clone();
-                thread::spawn(move || discovery.talk(stream));
-            }
-        });
-        discovery
-    }
-
-    /// Lists a target, or changes it.
-    pub fn tell(&self, target: Value) {
-        let uid = target["uid"].as_str().unwrap_or("?").to_string();
-        let mut registry = self.state.0.lock().unwrap();
-        registry.rev += 1;
-        let rev = registry.rev;
-        registry.targets.insert(uid, (rev, target));
-        self.state.1.notify_all();
-    }
-
-    /// Takes a target off the list, which is then told as a whole.
-    pub fn forget(&self, uid: &str) {
-        let mut registry = self.state.0.lock().unwrap();
-        registry.rev += 1;
-        registry.whole = true;
-        registry.targets.remove(uid);
-        self.state.1.notify_all();
-    }
-
-    pub fn set_mood(&self, mood: Mood) {
-        self.state.0.lock().unwrap().mood = mood;
-        self.state.1.notify_all();
-    }
-
-    /// Waits until so many calls have come, and returns their times and paths.
-    pub fn calls(&self, count: usize) -> Vec<(Instant, String)> {
-        let registry = self.state.0.lock().unwrap();
-        let wait = self
-            .state
-            .1
-            .wait_timeout_while(registry, PATIENCE, |r| r.calls.len() < count);
-        let (registry, timeout) = wait.unwrap();
-        assert!(
-            !timeout.timed_out(),
-            "{} calls of {count}",
-            registry.calls.len()
-        );
-        registry.calls.clone()
-    }
-
-    pub fn answered(&self) -> Vec<Instant> {
-        self.state.0.lock().unwrap().answered.clone()
-    }
-
-    fn talk(&self, stream: TcpStream) {
-        let mut reader = BufReader::new(stream);
-        loop {
-            let mut request = String::new();
-            if reader.read_line(&mut request).unwrap_or(0) == 0 {
-                return;
-            }
-            let mut header = String::new();
-            while reader.read_line(&mut header).unwrap_or(0) > 2 {
-                header.clear();
-            }
-            let path = request.split(' ').nth(1).unwrap_or("").to_string();
-            if !self.answer(&path, reader.get_mut()) {
-                return;
-            }
-        }
-    }
-
-    /// Answers one call; false ends the connection.
-    fn answer(&self, path: &str, stream: &mut TcpStream) -> bool {
-        let number = |name: &str| -> Option<u64> {
-            let (_, query) = path.split_once('?')?;
-            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(key, _)| *key == name)?.1.parse().ok()
-        };
-        let after = number("after");
-        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
-        let mut registry = self.state.0.lock().unwrap();
-        registry.calls.push((Instant::now(), path.to_string()));
-        self.state.1.notify_all();
-        let works = |r: &Registry| matches!(r.mood, Mood::Works | Mood::Closes);
-        let idle = |r: &mut Registry| after == Some(r.rev) && works(r);
-        let (mut registry, _) = self
-            .state
-            .1
-            .wait_timeout_while(registry, wait, idle)
-            .unwrap();
-        let whole = std::mem::take(&mut registry.whole) || after.is_none();
-        let entries: Vec<&Value> = registry
-            .targets
-            .values()
-            .filter(|(rev, _)| whole || after.is_none_or(|after| *rev > after))
-            .map(|(_, target)| target)
-            .collect();
-        let body = json!({"rev": registry.rev, "all": whole, "targets": entries});
-        let (status, body) = match registry.mood {
-            Mood::Works | Mood::Closes => ("200 OK", body.to_string()),
-            Mood::Garbles => ("200 OK", "{\"rev\":99,\"targets\":7".to_string()),
-            Mood::Refuses => ("503 Service Unavailable", String::new()),
-            Mood::Resets => return false,
-            Mood::Hangs => {
-                let hangs = |r: &mut Registry| r.mood == Mood::Hangs;
-                drop(self.state.1.wait_while(registry, hangs).unwrap());
-                return false;
-            }
-        };
-        let closes = registry.mood == Mood::Closes;
-        let connection = if closes { "close" } else { "keep-alive" };
-        let length = body.len();
-        let text = format!(
-            "HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: {connection}\r\n\r\n{body}"
-        );
-        registry.answered.push(Instant::now());
-        stream.write_all(text.as_bytes()).is_ok() && !closes
-    }
-}
+pub use violetwind_standins::{
+    Answers, Discovery, End, Mood, PATIENCE, Peer, Server, Vanished, target, unused,
+};
 
 /// The settings of a lone balancer with classes that may and may not be repeated.
 pub fn settings() -> Value {
@@ -512,16 +115,6 @@
         }
     }
 
-    /// Whether it answers `PING` with `PONG` now.
-    pub fn pong(&self) -> bool {
-        let Ok(stream) = TcpStream::connect(self.addr) else {
-            return false;
-        };
-        let mut peer = Peer::new(stream);
-        peer.say("PING");
-        peer.try_hear().as_deref() == Ok("PONG")
-    }
-
     pub fn wait_ready(&self) {
         let until = Instant::now() + PATIENCE;
         while !self.pong() {
@@ -624,6 +217,18 @@
     }
 }
 
+impl Answers for Proxy {
+    /// Whether it answers `PING` with `PONG` now.
+    fn pong(&self) -> bool {
+        let Ok(stream) = TcpStream::connect(self.addr) else {
+            return false;
+        };
+        let mut peer = Peer::new(stream);
+        peer.say("PING");
+        peer.try_hear().as_deref() == Ok("PONG")
+    }
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         // One that has ended already needs no end.
@@ -645,13 +250,3 @@
     let proxy = Proxy::start(&discovery);
     (server, discovery, proxy)
 }
-
-/// An address that nothing listens on, and that nobody else is given: no other test has its host,
-/// and the system gives no such port to connections. A port that was free a moment ago may not be now.
-pub fn unused() -> SocketAddr {
-    static COUNT: AtomicU32 = AtomicU32::new(1);
-    let id = std::process::id();
-    let count = COUNT.fetch_add(1, Ordering::Relaxed) as u8;
-    let host = Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 64, id as u8, count);
-    (host, 3000).into()
-}
--- a/crates/proxy/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Mood, Peer, Proxy, Server, one_server};
+use common::{Answers, Discovery, End, Mood, Peer, Proxy, Server, one_server};
 use serde_json::{Value, json};
 
 /// What discovery has to tell counts as told so long after the signal.
--- a/crates/proxy/tests/serving.rs
+++ b/crates/proxy/tests/serving.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Peer, Proxy, Server, one_server, target};
+use common::{Answers, Discovery, End, Peer, Proxy, Server, one_server, target};
 use serde_json::json;
 
 #[test]
--- a/crates/proxy/tests/shutdown.rs
+++ b/crates/proxy/tests/shutdown.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Discovery, End, Peer, Proxy, Server, one_server};
+use common::{Answers, Discovery, End, Peer, Proxy, Server, one_server};
 
 /// The longest deadline of the test's settings, and what the operators give beyond.
 const KILLED: Duration = Duration::from_millis(2700);
--- /dev/null
+++ b/crates/standins/src/bin/violetwind-standin-consul.rs
@@ -0,0 +1,119 @@
+//! The stand-in Consul by hand: instances from the command line, commands from standard input.
+
+use std::io::BufRead;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::Parser;
+use violetwind_standins::consul::{Check, Consul, Instance, Maintenance, Mood};
+
+/// A Consul that answers /v1/health/service/NAME and /v1/catalog/service/NAME, and lies on command.
+#[derive(Debug, Parser)]
+#[command(
+    version,
+    after_help = "Commands on standard input, one a line:
+  pass ID | warn ID | fail ID      set the check of an instance (ID may be `half`)
+  drain ID | undrain ID            service maintenance on or off
+  drop ID                          deregister it
+  add ID ADDRESS:PORT              register it
+  reset                            count the index from 1 again
+  mood works|silent|resets|429|500|no-leader|half|endless|stalls|zero|garbles
+
+Example:
+  violetwind-standin-consul --service agenda --instance s-1=127.0.0.1:3001"
+)]
+struct Args {
+    #[arg(long, default_value = "127.0.0.1:8500")]
+    listen: SocketAddr,
+    #[arg(long, default_value = "agenda")]
+    service: String,
+    /// An instance, as ID=ADDRESS:PORT; may come more than once.
+    #[arg(long = "instance", value_name = "ID=ADDRESS:PORT")]
+    instances: Vec<String>,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    if !args.listen.ip().is_loopback() {
+        eprintln!("{}: only loopback addresses are listened on", args.listen);
+        return ExitCode::FAILURE;
+    }
+    let consul = match Consul::listen(args.listen, &args.service) {
+        Ok(consul) => consul,
+        Err(error) => {
+            eprintln!("{}: {error}", args.listen);
+            return ExitCode::FAILURE;
+        }
+    };
+    let mut ids: Vec<String> = Vec::new();
+    for instance in &args.instances {
+        let parts = instance.split_once('=');
+        match parts.and_then(|(id, at)| Some((id, at.parse().ok()?))) {
+            Some((id, at)) => {
+                consul.register(Instance::new(id, at));
+                ids.push(id.to_string());
+            }
+            None => {
+                eprintln!("--instance {instance}: expected ID=ADDRESS:PORT");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    println!("listening on {}", consul.addr);
+    for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        if !obey(&consul, &mut ids, &words) {
+            println!("unknown: {line}");
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn obey(consul: &Consul, ids: &mut Vec<String>, words: &[&str]) -> bool {
+    let chosen = |id: &str| -> Vec<String> {
+        match id {
+            "half" => ids[..ids.len() / 2].to_vec(),
+            _ => vec![id.to_string()],
+        }
+    };
+    let with = |id: &str, alter: &dyn Fn(&mut Instance)| {
+        let chosen = chosen(id);
+        let chosen: Vec<&str> = chosen.iter().map(String::as_str).collect();
+        consul.alter(&chosen, alter);
+    };
+    match words {
+        ["pass", id] => with(id, &|i| i.check = Check::Passing),
+        ["warn", id] => with(id, &|i| i.check = Check::Warning),
+        ["fail", id] => with(id, &|i| i.check = Check::Critical),
+        ["drain", id] => with(id, &|i| i.maintenance = Maintenance::Service),
+        ["undrain", id] => with(id, &|i| i.maintenance = Maintenance::None),
+        ["drop", id] => consul.deregister(&[id]),
+        ["add", id, at] => match at.parse() {
+            Ok(at) => {
+                consul.register(Instance::new(id, at));
+                ids.push((*id).to_string());
+            }
+            Err(_) => return false,
+        },
+        ["reset"] => consul.reset_index(),
+        ["mood", mood] => {
+            consul.set_mood(match *mood {
+                "works" => Mood::Works,
+                "silent" => Mood::Silent,
+                "resets" => Mood::Resets,
+                "429" => Mood::TooMany,
+                "500" => Mood::Fails,
+                "no-leader" => Mood::NoLeader,
+                "half" => Mood::HalfBody,
+                "endless" => Mood::Endless,
+                "stalls" => Mood::Stalls,
+                "zero" => Mood::IndexZero,
+                "garbles" => Mood::Garbles,
+                _ => return false,
+            });
+        }
+        [] => {}
+        _ => return false,
+    }
+    true
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,32 @@
+//! Small stand-ins for what surrounds a proxy: clients, servers, discovery and Consul, on free ports of
+//! the loopback network, faulty on command. They decide nothing about whether a test passes; a thread
+//! a connection keeps each of them plain. Some can be run by hand (`src/bin`).
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+pub mod consul;
+pub mod http;
+mod peer;
+mod registry;
+mod server;
+mod vanished;
+
+pub use peer::{End, Peer};
+pub use registry::{Discovery, Mood};
+pub use server::{Answers, Server, target};
+pub use vanished::Vanished;
+
+/// Far longer than anything should take: a wait that long is a failure.
+pub const PATIENCE: Duration = Duration::from_secs(15);
+
+/// An address that nothing listens on, and that nobody else is given: no other test has its host,
+/// and the system gives no such port to connections. A port that was free a moment ago may not be now.
+pub fn unused() -> SocketAddr {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    let id = std::process::id();
+    let count = COUNT.fetch_add(1, Ordering::Relaxed) as u8;
+    let host = Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 64, id as u8, count);
+    (host, 3000).into()
+}
--- /dev/null
+++ b/crates/standins/src/peer.rs
@@ -0,0 +1,98 @@
+//! One side of a conversation in lines, for clients and for servers played by hand.
+
+use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+use crate::PATIENCE;
+
+/// How a connection ended.
+#[derive(Debug, PartialEq, Eq)]
+pub enum End {
+    Closed,
+    Reset,
+}
+
+/// One side of a conversation in lines.
+#[derive(Debug)]
+pub struct Peer {
+    pub(crate) reader: BufReader<TcpStream>,
+}
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self {
+            reader: BufReader::new(stream),
+        }
+    }
+
+    pub fn connect(to: SocketAddr) -> Self {
+        Self::new(TcpStream::connect(to).unwrap())
+    }
+
+    pub fn say(&mut self, line: &str) {
+        self.send(format!("{line}\r\n").as_bytes());
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.reader.get_mut().write_all(bytes).unwrap();
+    }
+
+    /// The next line without its end, or how the connection ended.
+    pub fn try_hear(&mut self) -> Result<String, End> {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Ok(0) => Err(End::Closed),
+            Ok(_) => {
+                let text = line.strip_suffix("\r\n");
+                Ok(text.unwrap_or_else(|| panic!("no CRLF: {line:?}")).into())
+            }
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => Err(End::Reset),
+            Err(error) => panic!("nothing came: {error}"),
+        }
+    }
+
+    pub fn hear(&mut self) -> String {
+        self.try_hear().expect("a line")
+    }
+
+    /// How the connection ends, with nothing more before that.
+    pub fn end(&mut self) -> End {
+        self.try_hear().expect_err("the end")
+    }
+
+    /// Whether something comes within such a time.
+    pub fn quiet_for(&mut self, time: Duration) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_read_timeout(Some(time)).unwrap();
+        let got = self.reader.fill_buf().map(<[u8]>::len);
+        let stream = self.reader.get_ref();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        matches!(got, Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
+    }
+
+    /// Waits until something has come, and leaves it unread.
+    pub fn wait_unread(&self) {
+        assert!(self.reader.get_ref().peek(&mut [0]).unwrap() > 0);
+    }
+
+    pub fn end_sending(&self) {
+        self.reader.get_ref().shutdown(Shutdown::Write).unwrap();
+    }
+
+    /// Sends bytes until the other side takes no more, or so many are through.
+    pub fn flood(&mut self, bytes: &[u8], within: Duration) -> usize {
+        let stream = self.reader.get_mut();
+        stream.set_write_timeout(Some(within)).unwrap();
+        let mut sent = 0;
+        while sent < bytes.len() {
+            match stream.write(&bytes[sent..]) {
+                Ok(count) => sent += count,
+                Err(_) => break,
+            }
+        }
+        sent
+    }
+}
--- /dev/null
+++ b/crates/standins/src/registry.rs
@@ -0,0 +1,169 @@
+//! The platform's discovery, with moods.
+
+use std::collections::BTreeMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::PATIENCE;
+use crate::http::Call;
+
+/// How discovery deals with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    Works,
+    Refuses,
+    Resets,
+    Hangs,
+    Garbles,
+    /// Answers, and ends the connection after each answer.
+    Closes,
+}
+
+#[derive(Debug)]
+struct Registry {
+    rev: u64,
+    targets: BTreeMap<String, (u64, Value)>,
+    mood: Mood,
+    /// The next answer is a whole list, as after a gap.
+    whole: bool,
+    calls: Vec<(Instant, String)>,
+    answered: Vec<Instant>,
+}
+
+/// Discovery, with a list that the test changes.
+#[derive(Clone)]
+pub struct Discovery {
+    pub addr: SocketAddr,
+    state: Arc<(Mutex<Registry>, Condvar)>,
+}
+
+impl Discovery {
+    pub fn start(targets: &[Value]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let registry = Registry {
+            rev: 0,
+            targets: BTreeMap::new(),
+            mood: Mood::Works,
+            whole: false,
+            calls: Vec::new(),
+            answered: Vec::new(),
+        };
+        let discovery = Self {
+            addr: listener.local_addr().unwrap(),
+            state: Arc::new((Mutex::new(registry), Condvar::new())),
+        };
+        for target in targets {
+            discovery.tell(target.clone());
+        }
+        let of_thread = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let discovery = of_thread.clone();
+                thread::spawn(move || discovery.talk(stream));
+            }
+        });
+        discovery
+    }
+
+    /// Lists a target, or changes it.
+    pub fn tell(&self, target: Value) {
+        let uid = target["uid"].as_str().unwrap_or("?").to_string();
+        let mut registry = self.state.0.lock().unwrap();
+        registry.rev += 1;
+        let rev = registry.rev;
+        registry.targets.insert(uid, (rev, target));
+        self.state.1.notify_all();
+    }
+
+    /// Takes a target off the list, which is then told as a whole.
+    pub fn forget(&self, uid: &str) {
+        let mut registry = self.state.0.lock().unwrap();
+        registry.rev += 1;
+        registry.whole = true;
+        registry.targets.remove(uid);
+        self.state.1.notify_all();
+    }
+
+    pub fn set_mood(&self, mood: Mood) {
+        self.state.0.lock().unwrap().mood = mood;
+        self.state.1.notify_all();
+    }
+
+    /// Waits until so many calls have come, and returns their times and paths.
+    pub fn calls(&self, count: usize) -> Vec<(Instant, String)> {
+        let registry = self.state.0.lock().unwrap();
+        let wait = self
+            .state
+            .1
+            .wait_timeout_while(registry, PATIENCE, |r| r.calls.len() < count);
+        let (registry, timeout) = wait.unwrap();
+        assert!(
+            !timeout.timed_out(),
+            "{} calls of {count}",
+            registry.calls.len()
+        );
+        registry.calls.clone()
+    }
+
+    pub fn answered(&self) -> Vec<Instant> {
+        self.state.0.lock().unwrap().answered.clone()
+    }
+
+    fn talk(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream);
+        while let Some(call) = Call::read(&mut reader) {
+            if !self.answer(&call, reader.get_mut()) {
+                return;
+            }
+        }
+    }
+
+    /// Answers one call; false ends the connection.
+    fn answer(&self, call: &Call, stream: &mut TcpStream) -> bool {
+        let number = |name: &str| -> Option<u64> { call.query(name)?.parse().ok() };
+        let after = number("after");
+        let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let mut registry = self.state.0.lock().unwrap();
+        registry.calls.push((Instant::now(), call.path.clone()));
+        self.state.1.notify_all();
+        let works = |r: &Registry| matches!(r.mood, Mood::Works | Mood::Closes);
+        let idle = |r: &mut Registry| after == Some(r.rev) && works(r);
+        let (mut registry, _) = self
+            .state
+            .1
+            .wait_timeout_while(registry, wait, idle)
+            .unwrap();
+        let whole = std::mem::take(&mut registry.whole) || after.is_none();
+        let entries: Vec<&Value> = registry
+            .targets
+            .values()
+            .filter(|(rev, _)| whole || after.is_none_or(|after| *rev > after))
+            .map(|(_, target)| target)
+            .collect();
+        let body = json!({"rev": registry.rev, "all": whole, "targets": entries});
+        let (status, body) = match registry.mood {
+            Mood::Works | Mood::Closes => ("200 OK", body.to_string()),
+            Mood::Garbles => ("200 OK", "{\"rev\":99,\"targets\":7".to_string()),
+            Mood::Refuses => ("503 Service Unavailable", String::new()),
+            Mood::Resets => return false,
+            Mood::Hangs => {
+                let hangs = |r: &mut Registry| r.mood == Mood::Hangs;
+                drop(self.state.1.wait_while(registry, hangs).unwrap());
+                return false;
+            }
+        };
+        let closes = registry.mood == Mood::Closes;
+        let connection = if closes { "close" } else { "keep-alive" };
+        let length = body.len();
+        let text = format!(
+            "HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: {connection}\r\n\r\n{body}"
+        );
+        registry.answered.push(Instant::now());
+        stream.write_all(text.as_bytes()).is_ok() && !closes
+    }
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,121 @@
+//! A server of lines.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Condvar, Mutex, mpsc};
+use std::thread;
+use std::time::Instant;
+
+use serde_json::{Value, json};
+
+use crate::PATIENCE;
+use crate::peer::Peer;
+
+/// What a server answers a probe with, nothing if it is silent, and whether it has answered any.
+#[derive(Debug, Default)]
+struct Probes {
+    state: Mutex<(Option<String>, bool)>,
+    changed: Condvar,
+}
+
+/// A program under test that answers `PING`.
+pub trait Answers {
+    fn pong(&self) -> bool;
+}
+
+/// A server that answers probes by itself and hands every `OPEN` to the test.
+pub struct Server {
+    pub addr: SocketAddr,
+    pub uid: String,
+    opened: mpsc::Receiver<(String, Peer)>,
+    probes: Arc<Probes>,
+}
+
+impl Server {
+    pub fn start(uid: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let (opens, opened) = mpsc::channel();
+        let probes = Arc::new(Probes::default());
+        probes.state.lock().unwrap().0 = Some("PONG x0=0.10".to_string());
+        let answer = probes.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (opens, answer) = (opens.clone(), answer.clone());
+                thread::spawn(move || Self::talk(Peer::new(stream), &opens, &answer));
+            }
+        });
+        Self {
+            addr,
+            uid: uid.to_string(),
+            opened,
+            probes,
+        }
+    }
+
+    fn talk(mut peer: Peer, opens: &mpsc::Sender<(String, Peer)>, probes: &Probes) {
+        peer.reader.get_ref().set_read_timeout(None).unwrap();
+        while let Ok(line) = peer.try_hear() {
+            if line.starts_with("OPEN ") {
+                peer.reader
+                    .get_ref()
+                    .set_read_timeout(Some(PATIENCE))
+                    .unwrap();
+                // A test that is over needs no more connections.
+                let _ = opens.send((line, peer));
+                return;
+            }
+            let answer = probes.state.lock().unwrap().0.clone();
+            if let Some(answer) = answer {
+                peer.say(&answer);
+                probes.state.lock().unwrap().1 = true;
+                probes.changed.notify_all();
+            }
+        }
+    }
+
+    /// The next connection that a client wants, with its first line.
+    pub fn opened(&self) -> (String, Peer) {
+        self.opened.recv_timeout(PATIENCE).expect("an OPEN")
+    }
+
+    /// The next connection, or none as soon as `answered` says that the client got an answer.
+    pub fn opened_or(&self, mut answered: impl FnMut() -> bool) -> Option<(String, Peer)> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Ok(opened) = self.opened.try_recv() {
+                return Some(opened);
+            }
+            if answered() {
+                return None;
+            }
+            assert!(Instant::now() < until, "neither an OPEN nor an answer");
+        }
+    }
+
+    pub fn nothing_opened(&self) -> bool {
+        self.opened.try_recv().is_err()
+    }
+
+    pub fn answer_probes(&self, with: Option<&str>) {
+        self.probes.state.lock().unwrap().0 = with.map(str::to_string);
+    }
+
+    /// Waits until a probe is answered, and until the proxy has read the answer: it serves in turn,
+    /// so the second of two calls that come after the answer finds it read.
+    pub fn wait_probed(&self, by: &impl Answers) {
+        let state = self.probes.state.lock().unwrap();
+        let changed = &self.probes.changed;
+        let wait = changed.wait_timeout_while(state, PATIENCE, |(_, answered)| !*answered);
+        assert!(!wait.unwrap().1.timed_out(), "no probe");
+        assert!(by.pong() && by.pong());
+    }
+
+    pub fn target(&self, state: &str) -> Value {
+        target(&self.uid, &self.addr.to_string(), state)
+    }
+}
+
+pub fn target(uid: &str, endpoint: &str, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": endpoint, "az": "a", "model": "m", "pod_group": 0,
+           "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+}
