A Consul source: blocking queries, rules for rows, and bodies read as they come

Need: some installations keep their servers in Consul; its answers are whole lists of any size, and its agents lie, stall and lose their leader.

--- /dev/null
+++ b/crates/consul/src/client.rs
@@ -0,0 +1,232 @@
+//! One connection to Consul, kept from call to call: at most one call is open a data centre.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::{AbortHandle, yield_now};
+use tokio::time::timeout;
+use violetwind_catalogue::Row;
+
+use crate::query::Head;
+use crate::rows::{Cutter, Reader};
+use crate::rules::{Api, Settings};
+use crate::token::Token;
+
+/// Why there is no list.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    pub head: Option<Head>,
+    pub error: String,
+}
+
+impl Failure {
+    fn of(error: impl ToString) -> Self {
+        Self {
+            head: None,
+            error: error.to_string(),
+        }
+    }
+}
+
+/// A list that was read to its end.
+#[derive(Debug, Default)]
+pub(crate) struct Read {
+    pub rows: Vec<Row>,
+    pub faults: usize,
+    pub fault: Option<String>,
+    /// The time that reading it kept the processor.
+    pub took: Duration,
+}
+
+pub(crate) struct Client<'a> {
+    settings: &'a Settings,
+    datacenter: Option<&'a str>,
+    connection: Option<Connection>,
+}
+
+/// Ends its connection when it is dropped, whatever call is under way.
+struct Connection {
+    sender: SendRequest<Empty<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl<'a> Client<'a> {
+    pub fn new(settings: &'a Settings, datacenter: Option<&'a str>) -> Self {
+        Self {
+            settings,
+            datacenter,
+            connection: None,
+        }
+    }
+
+    /// The next call has a fresh connection; one that is out has ended with this.
+    pub fn hang_up(&mut self) {
+        self.connection = None;
+    }
+
+    /// The head of an answer, which says whether the body is wanted.
+    pub async fn ask(
+        &mut self,
+        index: Option<u64>,
+        token: Option<&Token>,
+    ) -> Result<(Head, Response<Incoming>), Failure> {
+        let limits = &self.settings.limits;
+        // The API adds up to a sixteenth to the wait, by chance.
+        let waits = index.map_or(Duration::ZERO, |_| limits.wait + limits.wait / 16);
+        let call = timeout(waits + limits.slack, self.call(index, token)).await;
+        let response = call.map_err(|_| Failure::of("no answer in time"))??;
+        let head = head(response.status().as_u16(), response.headers());
+        if head.status != 200 {
+            let error = format!("status {}", head.status);
+            return Err(Failure {
+                head: Some(head),
+                error,
+            });
+        }
+        Ok((head, response))
+    }
+
+    async fn call(
+        &mut self,
+        index: Option<u64>,
+        token: Option<&Token>,
+    ) -> Result<Response<Incoming>, Failure> {
+        let path = self.path(index);
+        let sender = self.connected().await?;
+        sender.ready().await.map_err(Failure::of)?;
+        let mut request = Request::get(path).body(Empty::new()).map_err(Failure::of)?;
+        let headers = request.headers_mut();
+        let host = HeaderValue::from_str(&self.settings.address.to_string());
+        headers.insert(HOST, host.map_err(Failure::of)?);
+        if let Some(token) = token {
+            let value = HeaderValue::from_str(token.secret());
+            let mut value = value.map_err(|_| Failure::of("a token that no header can hold"))?;
+            value.set_sensitive(true);
+            headers.insert("X-Consul-Token", value);
+        }
+        let sender = self.connected().await?;
+        sender.send_request(request).await.map_err(Failure::of)
+    }
+
+    fn path(&self, index: Option<u64>) -> String {
+        let kind = match self.settings.api {
+            Api::Health => "health",
+            Api::Catalog => "catalog",
+        };
+        let mut path = format!("/v1/{kind}/service/{}", self.settings.service);
+        let mut between = '?';
+        let mut add = |text: String| {
+            path.push(between);
+            path.push_str(&text);
+            between = '&';
+        };
+        if let Some(datacenter) = self.datacenter {
+            add(format!("dc={datacenter}"));
+        }
+        if self.settings.stale {
+            add("stale".into());
+        }
+        if let Some(index) = index {
+            let wait = self.settings.limits.wait.as_millis();
+            add(format!("index={index}&wait={wait}ms"));
+        }
+        path
+    }
+
+    async fn connected(&mut self) -> Result<&mut SendRequest<Empty<Bytes>>, Failure> {
+        if !matches!(&self.connection, Some(connection) if !connection.sender.is_closed()) {
+            self.connection = None;
+            let connect = TcpStream::connect(self.settings.address);
+            let stream = timeout(self.settings.limits.connect, connect).await;
+            let stream = stream.map_err(|_| Failure::of("never comes up"))?;
+            let stream = stream.map_err(Failure::of)?;
+            let _ = stream.set_nodelay(true);
+            let (sender, connection) = http1::handshake(TokioIo::new(stream))
+                .await
+                .map_err(Failure::of)?;
+            // Each call hears of an error itself.
+            let task = tokio::task::spawn_local(async move {
+                let _ = connection.await;
+            });
+            let task = task.abort_handle();
+            self.connection = Some(Connection { sender, task });
+        }
+        let connection = self.connection.as_mut();
+        Ok(&mut connection
+            .ok_or_else(|| Failure::of("not connected"))?
+            .sender)
+    }
+
+    /// Reads a body to its end, row by row; without `wanted` it is only passed over.
+    pub async fn read(&self, response: Response<Incoming>, wanted: bool) -> Result<Read, Failure> {
+        let limits = &self.settings.limits;
+        let reading = self.read_body(response.into_body(), wanted);
+        let read = timeout(limits.body_most, reading).await;
+        read.map_err(|_| Failure::of("a body that does not end"))?
+    }
+
+    async fn read_body(&self, mut body: Incoming, wanted: bool) -> Result<Read, Failure> {
+        let limits = &self.settings.limits;
+        let mut cutter = Cutter::new(limits);
+        let mut reader = Reader::new(self.settings.api, &self.settings.rules, limits);
+        let (mut bytes, mut took) = (0, Duration::ZERO);
+        loop {
+            let frame = timeout(limits.body_idle, body.frame()).await;
+            let frame = frame.map_err(|_| Failure::of("a body that stalls"))?;
+            let Some(frame) = frame else { break };
+            let frame = frame.map_err(Failure::of)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            bytes += data.len();
+            if bytes > limits.body_bytes {
+                return Err(Failure::of(format!(
+                    "more than {} bytes",
+                    limits.body_bytes
+                )));
+            }
+            if wanted {
+                let start = Instant::now();
+                let cut = cutter.feed(&data, |row| reader.row(row));
+                took += start.elapsed();
+                cut.map_err(Failure::of)?;
+                // Connections are served between two parts of a long list.
+                yield_now().await;
+            }
+        }
+        if wanted {
+            cutter.end().map_err(Failure::of)?;
+        }
+        Ok(Read {
+            rows: reader.rows,
+            faults: reader.faults,
+            fault: reader.fault,
+            took,
+        })
+    }
+}
+
+fn head(status: u16, headers: &HeaderMap) -> Head {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let number = |name: &str| text(name).and_then(|text| text.trim().parse().ok());
+    Head {
+        status,
+        index: number("X-Consul-Index"),
+        leaderless: text("X-Consul-KnownLeader").is_some_and(|known| known.trim() == "false"),
+        last_contact: Duration::from_millis(number("X-Consul-LastContact").unwrap_or(0)),
+        retry_after: number(RETRY_AFTER.as_str()).map(Duration::from_secs),
+    }
+}
