--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -112,7 +112,10 @@
         if let Some(text) = operators {
             std::fs::write(&file, text).unwrap();
         }
-        let mut child = Command::new(env!("CARGO_BIN_EXE_violetwind"))
+        // Another build, for a comparison with an earlier version.
+        let program = std::env::var_os("VIOLETWIND_BIN");
+        let program = program.unwrap_or_else(|| env!("CARGO_BIN_EXE_violetwind").into());
+        let mut child = Command::new(program)
             .env("NODE_CONFIG", &path)
             .env_remove("NODE_LISTEN")
             .env_remove("NODE_DISCOVERY")
@@ -226,6 +229,17 @@
         assert!(status.success());
     }
 
+    /// The processor time that it has taken.
+    pub fn cpu(&self) -> Duration {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let stat = std::fs::read_to_string(path).unwrap();
+        // The name in brackets may hold spaces; behind it the fields are counted from the third on.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split(' ').collect();
+        let ticks = |at: usize| fields[at].parse::<u64>().unwrap();
+        // A tick is a hundredth of a second to programs, whatever the kernel's own.
+        Duration::from_millis(10 * (ticks(12) + ticks(13)))
+    }
+
     /// The most memory it has held, in KiB.
     pub fn memory_kib(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
