Long lists reach the engine in parts, between which connections are served

Cause: at 20,000 instances one list kept everyone waiting: 25 to 126 ms in the engine, and parts of a body of 400 KB were read in one go. Change: bodies are read in slices of 64 KB, whole lists told in parts of 256 rows of which nothing but drains counts before the last, and changes handed to the module in slices, who leaves first. The log names ten servers for one telling, and counts the rest.

--- a/crates/catalogue/src/view.rs
+++ b/crates/catalogue/src/view.rs
@@ -46,7 +46,9 @@
     lost_since: Option<Millis>,
     /// Servers on which it has a word.
     voices: usize,
+    /// The number of its last whole list, and since when parts of that are being told.
     mark: u64,
+    reading: Option<Millis>,
     doubt: Doubt,
 }
 
@@ -122,6 +124,7 @@
         self.advance(now);
         if let Some(source) = self.sources.get_mut(usize::from(source)) {
             source.retiring |= std::mem::take(&mut source.live);
+            source.reading = None;
         }
         self.release();
         self.facts()
@@ -136,20 +139,15 @@
             return Vec::new();
         };
         if let Telling::Lost = telling {
+            teller.reading = None;
             teller.lost_since.get_or_insert(now);
             return self.facts();
         }
         teller.answered = Some(now);
         teller.lost_since = None;
         match telling {
-            Telling::Whole(rows) => {
-                teller.mark += 1;
-                for row in rows {
-                    self.row(source, row);
-                }
-                self.leave_out(source);
-                self.sources[at].told = true;
-            }
+            Telling::Whole(rows) => self.whole(source, true, true, rows),
+            Telling::Part { first, last, rows } => self.whole(source, first, last, rows),
             Telling::Changes(rows) => {
                 for row in rows {
                     self.row(source, row);
@@ -186,7 +184,8 @@
 
     /// When time alone may change something next.
     pub fn next_wake(&self) -> Option<Millis> {
-        let busy = !self.pending.is_empty() || !self.touched.is_empty();
+        let busy = [&self.pending, &self.touched, &self.dirty];
+        let busy = busy.iter().any(|set| !set.is_empty());
         let doubted = self.sources.iter().any(|source| source.doubt.judged);
         (busy || doubted).then_some(self.looked_at + self.limits.tick)
     }
@@ -245,6 +244,28 @@
 
     // Words.
 
+    /// Takes a whole list, or a part of one.
+    fn whole(&mut self, source: SourceId, first: bool, last: bool, rows: Vec<Row>) {
+        let now = self.now;
+        let teller = &mut self.sources[usize::from(source)];
+        if first {
+            teller.mark += 1;
+            teller.reading = Some(now);
+        } else if teller.reading.is_none() {
+            // Its beginning was given up.
+            return;
+        }
+        for row in rows {
+            self.row(source, row);
+        }
+        if last {
+            self.leave_out(source);
+            let teller = &mut self.sources[usize::from(source)];
+            teller.reading = None;
+            teller.told = true;
+        }
+    }
+
     fn row(&mut self, source: SourceId, row: Row) {
         let heard = match row.word {
             Word::Ready => Heard::Ready,
@@ -567,10 +588,19 @@
     fn facts(&mut self) -> Vec<Fact> {
         self.judge_sources();
         let mut facts = std::mem::take(&mut self.evicted);
+        // Half of a list may look like a loss of the other half: until its end only drains go out.
+        let begun = self.now.saturating_sub(self.limits.tick);
+        let reading = |source: &Source| source.reading.is_some_and(|at| at >= begun);
+        let half = self.sources.iter().any(reading);
+        let mut held = BTreeSet::new();
         for uid in std::mem::take(&mut self.dirty) {
             let Some(record) = self.servers.get(&uid) else {
                 continue;
             };
+            if half && !record.drained() {
+                held.insert(uid);
+                continue;
+            }
             let (belief, why) = self.judge(record);
             let pending = record.pending();
             let record = self.servers.get_mut(&uid).expect("found just now");
@@ -610,6 +640,7 @@
                 born,
             });
         }
+        self.dirty = held;
         facts
     }
 }
--- a/crates/catalogue/src/words.rs
+++ b/crates/catalogue/src/words.rs
@@ -45,6 +45,13 @@
 pub enum Telling {
     /// All servers it knows.
     Whole(Vec<Row>),
+    /// The same in parts: nothing but drains counts before the last of them. What is in none of the parts
+    /// is left out.
+    Part {
+        first: bool,
+        last: bool,
+        rows: Vec<Row>,
+    },
     /// Those that changed.
     Changes(Vec<Row>),
     /// A list too old to be believed: only its drains count.
@@ -55,6 +62,13 @@
     Lost,
 }
 
+impl Telling {
+    /// Whether it ends a whole list.
+    pub fn completes(&self) -> bool {
+        matches!(self, Self::Whole(_) | Self::Part { last: true, .. })
+    }
+}
+
 /// What a source's word has come to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
--- a/crates/catalogue/tests/beliefs.rs
+++ b/crates/catalogue/tests/beliefs.rs
@@ -385,3 +385,51 @@
     assert_eq!(beliefs(&facts), expected);
     assert_eq!((c.len(), c.counts().evicted), (10, 1));
 }
+
+/// A list of which half is still to come looks like a loss of that half.
+#[test]
+fn a_list_in_parts_counts_at_its_end_but_for_its_drains() {
+    let (mut c, source, names) = listed(100);
+    let part = |from: usize, to: usize, word: Word| {
+        let rows = names[from..to].iter().map(|uid| row(uid, word)).collect();
+        Telling::Part {
+            first: from == 0,
+            last: to == 100,
+            rows,
+        }
+    };
+    let facts = c.tell(T + 1, source, part(0, 10, Word::Draining));
+    assert_eq!(facts.len(), 10);
+    assert!(facts.iter().all(|fact| fact.belief == Belief::Draining));
+    assert!(
+        c.tell(T + 2, source, part(10, 30, Word::Failing))
+            .is_empty()
+    );
+    assert!(c.heard_of(T + 3, &names[12], false).is_empty());
+    // 20 of 100 fail and one is left out: too few for a doubt.
+    let rows = names[30..99]
+        .iter()
+        .map(|uid| row(uid, Word::Ready))
+        .collect();
+    let facts = c.tell(
+        T + 4,
+        source,
+        Telling::Part {
+            first: false,
+            last: true,
+            rows,
+        },
+    );
+    assert_eq!(facts.len(), 21);
+    assert!(facts.iter().all(|fact| fact.belief == Belief::Suspected));
+    // One that was given up half-way holds nothing back for long, and its rest is not taken for a list.
+    c.tell(T + 10_000, source, part(0, 10, Word::Failing));
+    c.tell(T + 10_001, source, Telling::Lost);
+    let rows = vec![row(&names[99], Word::Ready)];
+    let rest = Telling::Part {
+        first: false,
+        last: true,
+        rows,
+    };
+    assert!(c.tell(T + 10_002, source, rest).is_empty());
+}
--- a/crates/consul/src/client.rs
+++ b/crates/consul/src/client.rs
@@ -198,9 +198,10 @@
                     limits.body_bytes
                 )));
             }
-            if wanted {
+            let slices = data.chunks(limits.slice_bytes.max(1));
+            for slice in slices.filter(|_| wanted) {
                 let start = Instant::now();
-                let cut = cutter.feed(&data, |row| reader.row(row));
+                let cut = cutter.feed(slice, |row| reader.row(row));
                 took += start.elapsed();
                 cut.map_err(Failure::of)?;
                 // Connections are served between two parts of a long list.
--- a/crates/consul/src/limits.rs
+++ b/crates/consul/src/limits.rs
@@ -9,6 +9,9 @@
     pub rows: usize,
     pub row_bytes: usize,
     pub field_bytes: usize,
+    /// Bytes of a body, and rows of a list, that are dealt with before connections are served again.
+    pub slice_bytes: usize,
+    pub slice_rows: usize,
     /// The longest token file.
     pub token_bytes: u64,
     /// How often that file is looked at while a call is out.
@@ -41,6 +44,8 @@
             rows: 40_000,
             row_bytes: 64 << 10,
             field_bytes: 256,
+            slice_bytes: 64 << 10,
+            slice_rows: 256,
             token_bytes: 4096,
             token_every: ms(1000),
             connect: ms(1000),
--- a/crates/consul/src/watch.rs
+++ b/crates/consul/src/watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
+use tokio::task::yield_now;
 use tokio::time::{interval, sleep};
 use tracing::{info, warn};
 use violetwind_catalogue::{Row, Telling};
@@ -62,17 +63,46 @@
                 (Telling::Lost, query.failed(failure.head.as_ref(), chance))
             }
         };
-        if engine
-            .send(Notice::Told(name.clone(), telling))
-            .await
-            .is_err()
-        {
+        if !tell(&engine, &name, telling, settings.limits.slice_rows).await {
             return;
         }
         sleep(wait).await;
     }
 }
 
+/// Tells the engine, a long list in parts between which connections are served. False if it is gone.
+async fn tell(
+    engine: &mpsc::Sender<Notice>,
+    name: &Rc<str>,
+    telling: Telling,
+    slice: usize,
+) -> bool {
+    let send = async |telling| {
+        engine
+            .send(Notice::Told(name.clone(), telling))
+            .await
+            .is_ok()
+    };
+    let mut rows = match telling {
+        Telling::Whole(rows) if rows.len() > slice => rows.into_iter().peekable(),
+        telling => return send(telling).await,
+    };
+    let mut first = true;
+    while rows.peek().is_some() {
+        let part: Vec<Row> = rows.by_ref().take(slice.max(1)).collect();
+        let telling = Telling::Part {
+            first: std::mem::take(&mut first),
+            last: rows.peek().is_none(),
+            rows: part,
+        };
+        if !send(telling).await {
+            return false;
+        }
+        yield_now().await;
+    }
+    true
+}
+
 /// What Consul lists now, asked once: the rows, and what was wrong with some of them.
 pub async fn once(
     settings: &Settings,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 use tracing::{debug, error, info, trace};
 use violetwind_balancer::Balancer;
@@ -73,6 +74,8 @@
     actions: Vec<Action>,
     probes: P,
     members: Option<Members>,
+    /// Rows of the catalogue that the module has not been told yet; the last word on a server counts.
+    changed: BTreeMap<ServerId, Listed>,
     conns: HashMap<RequestId, Conn>,
     /// Where each server is reached, with the identity behind its number.
     addresses: HashMap<ServerId, (String, SocketAddr)>,
@@ -96,6 +99,7 @@
             actions: Vec::new(),
             probes,
             members: setup.catalogue.map(Members::new),
+            changed: BTreeMap::new(),
             conns: HashMap::new(),
             addresses: HashMap::new(),
             on_server: HashMap::new(),
@@ -127,7 +131,11 @@
             tokio::select! {
                 notice = inbox.recv() => match notice {
                     Some(notice) => {
-                        let listed = matches!(notice, Notice::List(..) | Notice::Told(_, Telling::Whole(_)));
+                        let listed = match &notice {
+                            Notice::List(..) => true,
+                            Notice::Told(_, telling) => telling.completes(),
+                            _ => false,
+                        };
                         self.take(Instant::now(), notice);
                         if listed {
                             ready.send_replace(true);
@@ -137,6 +145,9 @@
                 },
                 () = wake => self.wake(Instant::now()),
             }
+            if !self.changed.is_empty() {
+                yield_now().await;
+            }
         }
     }
 
@@ -159,7 +170,9 @@
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
         let look = self.members.as_ref().and_then(Members::next_wake);
         let look = look.map(|at| self.clock.moment(at));
-        [timer, self.next_spread, look].into_iter().flatten().min()
+        let rest = (!self.changed.is_empty()).then_some(self.now);
+        let due = [timer, self.next_spread, look, rest];
+        due.into_iter().flatten().min()
     }
 
     pub fn wake(&mut self, now: Instant) {
@@ -173,19 +186,47 @@
         if self.next_spread.is_some_and(|at| at <= now) {
             self.spread_moves(now);
         }
+        self.take_changed();
         let due = self.members.as_ref().and_then(Members::next_wake);
         if due.is_some_and(|at| self.clock.moment(at) <= now) {
             self.weigh(|members, now| members.wake(now));
         }
     }
 
-    /// Asks the catalogue, and takes what changes by it as a list of changes.
+    /// Asks the catalogue, and takes what changes by it: who leaves at once, the rest in slices between
+    /// which connections are served.
     fn weigh(&mut self, ask: impl FnOnce(&mut Members, u64) -> Vec<Listed>) {
         let now = (self.clock.at(self.now) * 1e3) as u64;
         let rows = match &mut self.members {
             Some(members) => ask(members, now),
             None => return,
         };
+        let mut at_once = Vec::new();
+        for listed in rows {
+            let server = listed.row.server;
+            match listed.row.status {
+                Status::Draining | Status::Gone => {
+                    // A word that still waits is older.
+                    self.changed.remove(&server);
+                    at_once.push(listed);
+                }
+                Status::Up | Status::Suspected => drop(self.changed.insert(server, listed)),
+            }
+        }
+        if !at_once.is_empty() {
+            self.list(ListKind::Update, at_once);
+        }
+        self.take_changed();
+    }
+
+    /// Takes a slice of what changed.
+    fn take_changed(&mut self) {
+        let mut rows = Vec::new();
+        while rows.len() < self.limits.slice
+            && let Some((_, listed)) = self.changed.pop_first()
+        {
+            rows.push(listed);
+        }
         if !rows.is_empty() {
             self.list(ListKind::Update, rows);
         }
--- a/crates/engine/src/limits.rs
+++ b/crates/engine/src/limits.rs
@@ -6,6 +6,8 @@
 pub struct Limits {
     /// Notices on the way to the engine: who sends one more waits.
     pub notices: usize,
+    /// Rows of a list of changes that the module is told in one step.
+    pub slice: usize,
     /// A connection that stood before the start is tried for so long.
     pub standing: Duration,
     /// A draining server's connections stay so long, then move over such a span.
--- a/crates/engine/src/members.rs
+++ b/crates/engine/src/members.rs
@@ -13,6 +13,9 @@
 /// A source that is silent is told of after this, and again each time that has doubled.
 const SILENT_FROM: Millis = 10_000;
 
+/// Servers that the log names for one telling.
+const NAMED: usize = 10;
+
 #[derive(Debug)]
 pub(crate) struct Members {
     catalogue: Catalogue,
@@ -144,17 +147,22 @@
         self.counts = counts;
     }
 
-    /// Facts as rows of a list of changes.
+    /// Facts as rows of a list of changes. The log names the first few that are no longer simply ready.
     fn rows(&self, facts: Vec<Fact>) -> Vec<Listed> {
+        let doubtful = facts.iter().filter(|fact| fact.belief != Belief::Ready);
+        for fact in doubtful.clone().take(NAMED) {
+            info!(uid = &*fact.uid, belief = ?fact.belief, why = %fact.why, "a server");
+        }
+        let more = doubtful.count().saturating_sub(NAMED);
+        if more > 0 {
+            info!(more, "further servers");
+        }
         facts.into_iter().map(row).collect()
     }
 }
 
 fn row(fact: Fact) -> Listed {
     let instance = fact.instance;
-    if fact.belief != Belief::Ready {
-        info!(uid = &*fact.uid, belief = ?fact.belief, why = %fact.why, "a server");
-    }
     let server: ServerId = server_id(&fact.uid);
     Listed {
         endpoint: Some(instance.endpoint),
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -97,6 +97,7 @@
             names: Names::default(),
             limits: Limits {
                 notices: 16,
+                slice: 4,
                 standing: ms(1000),
                 drain_wait: ms(700),
                 drain_span: ms(800),
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -184,6 +184,7 @@
             term_exit: secs(term + 0.45),
             engine: violetwind_engine::Limits {
                 notices: 1024,
+                slice: 256,
                 standing: ms(38_000),
                 drain_wait: ms(700),
                 drain_span: ms(800),
