--- a/crates/catalogue/tests/beliefs.rs
+++ b/crates/catalogue/tests/beliefs.rs
@@ -433,3 +433,39 @@
     };
     assert!(c.tell(T + 10_002, source, rest).is_empty());
 }
+
+/// 1,000 of 20,000 change each second: what is told is what changed, and what is remembered is bounded.
+#[test]
+fn a_thousand_changes_a_second_among_twenty_thousand() {
+    let (mut c, source, names) = listed(20_000);
+    let mut failing: Vec<bool> = vec![false; names.len()];
+    for second in 1..=20_u64 {
+        let at = second as usize * 1000 % names.len();
+        let mut changed = Vec::new();
+        for (n, uid) in names.iter().enumerate().skip(at).take(1000) {
+            failing[n] = !failing[n];
+            let word = if failing[n] {
+                Word::Failing
+            } else {
+                Word::Ready
+            };
+            changed.push(row(uid, word));
+        }
+        let facts = c.tell(T + second * 1000, source, changes(changed));
+        assert!(c.len() == names.len() && facts.len() <= 20_000);
+        let doubted = c.sources().any(|source| source.doubted_since.is_some());
+        let suspects = c
+            .servers()
+            .filter(|seen| seen.belief == Belief::Suspected)
+            .count();
+        // 5% a second: from the sixth on it is more than a quarter of the fleet in half a minute.
+        let told = if second <= 5 {
+            second as usize * 1000
+        } else {
+            0
+        };
+        assert_eq!(suspects, told, "second {second}, doubted: {doubted}");
+        c.wake(T + second * 1000 + 500);
+    }
+    assert_eq!(c.counts().doubts, 1);
+}
