--- a/crates/conf/src/read.rs
+++ b/crates/conf/src/read.rs
@@ -355,11 +355,14 @@
     Duration::try_from_secs_f64(number * unit).ok()
 }
 
-/// A span as the file writes it.
+/// A span as the file writes it, to the microsecond.
 pub fn span_text(span: Duration) -> String {
     match span.as_millis() {
+        _ if !span.as_micros().is_multiple_of(1000) || span.is_zero() => {
+            format!("{}ms", span.as_micros() as f64 / 1000.0)
+        }
         ms if ms % 1000 != 0 => format!("{ms}ms"),
-        ms if ms % 60_000 != 0 || ms == 0 => format!("{}s", ms / 1000),
+        ms if ms % 60_000 != 0 => format!("{}s", ms / 1000),
         ms => format!("{}m", ms / 60_000),
     }
 }
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,9 @@
+//! The fleet lab: what a setting or a version of the module does to a whole fleet, before it is tried on
+//! one. [`scenario`] says what is played, [`model`] plays it in simulated time on the real `Balancer`,
+//! [`stats`] says how sure a difference is, [`experiment`] runs seeds side by side.
+
+pub mod experiment;
+pub mod hunt;
+pub mod model;
+pub mod scenario;
+pub mod stats;
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,359 @@
+//! `violetwind-lab`: plays fleets, compares settings and policies, with error bars.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Instant;
+
+use clap::{Args, Parser, Subcommand};
+use serde_json::json;
+use violetwind_lab::experiment::{self, FIGURES, Side, figures, play, score, threads};
+use violetwind_lab::hunt::{Quarry, hunt};
+use violetwind_lab::model::{Outcome, PolicyKind};
+use violetwind_lab::scenario::Scenario;
+use violetwind_lab::stats::Estimate;
+
+/// The fleet lab: whole fleets in simulated time, on the real decision module.
+#[derive(Debug, Parser)]
+#[command(
+    name = "violetwind-lab",
+    version,
+    after_help = "\
+Examples:
+  violetwind-lab run crates/lab/scenarios/small-day.toml
+  violetwind-lab run crates/lab/scenarios/campaign.toml --policy bound --seeds 5 --json
+  violetwind-lab compare crates/lab/scenarios/small-day.toml --policy-a no-moves --policy-b module
+  violetwind-lab compare crates/lab/scenarios/small-day.toml --set-b demand.fill=0.8
+  violetwind-lab hunt crates/lab/scenarios/small-day.toml --seeds 7 --most 500
+  violetwind-lab sweep crates/lab/scenarios/small-day.toml demand.fill 0.5 0.7 0.9"
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Play a scenario, with random placement and the bound beside it.
+    Run {
+        #[command(flatten)]
+        common: Common,
+        #[arg(long, default_value = "module", value_parser = policy)]
+        policy: PolicyKind,
+    },
+    /// Two settings, scenarios or policies on the same seeds: the paired difference and its interval.
+    Compare {
+        #[command(flatten)]
+        common: Common,
+        /// The second scenario, if not the first.
+        #[arg(long, value_name = "FILE")]
+        b: Option<PathBuf>,
+        #[arg(long = "set-a", value_name = "KEY=VALUE")]
+        set_a: Vec<String>,
+        #[arg(long = "set-b", value_name = "KEY=VALUE")]
+        set_b: Vec<String>,
+        #[arg(long, default_value = "module", value_parser = policy)]
+        policy_a: PolicyKind,
+        #[arg(long, default_value = "module", value_parser = policy)]
+        policy_b: PolicyKind,
+        /// Stop when half of every interval is no longer than this.
+        #[arg(long, default_value_t = 0.002)]
+        precision: f64,
+    },
+    /// Search variations of a scenario for broken rules, or the largest loss to the bound, and shrink what
+    /// is found. Prints the scenario; exit 1 where a rule was broken.
+    Hunt {
+        #[command(flatten)]
+        common: Common,
+        #[arg(long, default_value = "module", value_parser = policy)]
+        policy: PolicyKind,
+        /// Scenarios that are played at the most.
+        #[arg(long, default_value_t = 200)]
+        most: usize,
+    },
+    /// One value over a grid.
+    Sweep {
+        #[command(flatten)]
+        common: Common,
+        key: String,
+        #[arg(required = true)]
+        values: Vec<String>,
+        #[arg(long, default_value = "module", value_parser = policy)]
+        policy: PolicyKind,
+    },
+}
+
+#[derive(Debug, Args)]
+struct Common {
+    scenario: PathBuf,
+    /// Put a value over the file, such as fleet.servers=100.
+    #[arg(long, value_name = "KEY=VALUE")]
+    set: Vec<String>,
+    /// How many seeds, from 1 on; for a hunt, the seed of its chance.
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+    /// Threads; the outcome does not depend on them.
+    #[arg(long)]
+    threads: Option<usize>,
+    #[arg(long)]
+    json: bool,
+}
+
+fn policy(text: &str) -> Result<PolicyKind, String> {
+    let found = PolicyKind::NAMES.iter().find(|(name, _)| *name == text);
+    found.map(|(_, kind)| *kind).ok_or_else(|| {
+        let names: Vec<&str> = PolicyKind::NAMES.iter().map(|(name, _)| *name).collect();
+        format!("expected one of {}", names.join(", "))
+    })
+}
+
+impl Common {
+    fn read(&self, more: &[String]) -> Result<Scenario, ExitCode> {
+        load(&self.scenario, &[&self.set[..], more].concat())
+    }
+
+    fn seeds(&self) -> Vec<u64> {
+        (1..=self.seeds.max(1)).collect()
+    }
+}
+
+fn load(path: &PathBuf, set: &[String]) -> Result<Scenario, ExitCode> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        eprintln!("{name}: {error}");
+        ExitCode::FAILURE
+    })?;
+    Scenario::parse(&name, &text, set).map_err(|problems| {
+        problems.iter().for_each(|problem| eprintln!("{problem}"));
+        ExitCode::FAILURE
+    })
+}
+
+fn main() -> ExitCode {
+    match carry_out(Cli::parse().command) {
+        Ok(code) | Err(code) => code,
+    }
+}
+
+fn carry_out(command: Command) -> Result<ExitCode, ExitCode> {
+    match command {
+        Command::Run { common, policy } => {
+            let scenario = common.read(&[])?;
+            Ok(run(&scenario, policy, &common))
+        }
+        Command::Compare {
+            common,
+            b,
+            set_a,
+            set_b,
+            policy_a,
+            policy_b,
+            precision,
+        } => {
+            let a = Side {
+                scenario: common.read(&set_a)?,
+                policy: policy_a,
+            };
+            let second = b.as_ref().unwrap_or(&common.scenario);
+            let b = Side {
+                scenario: load(second, &[&common.set[..], &set_b].concat())?,
+                policy: policy_b,
+            };
+            compare(&a, &b, precision, &common);
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Hunt {
+            common,
+            policy,
+            most,
+        } => {
+            let base = common.read(&[])?;
+            let Some(found) = hunt(&base, policy, common.seeds, most) else {
+                println!("nothing in {most} scenarios");
+                return Ok(ExitCode::SUCCESS);
+            };
+            println!(
+                "# {:?}, policy {}, seed {}: found after {} scenarios, shrunk {} times",
+                found.quarry,
+                policy.name(),
+                found.seed,
+                found.runs,
+                found.shrinks
+            );
+            print!("{}", found.scenario.to_toml());
+            Ok(match found.quarry {
+                Quarry::Broken(_) => ExitCode::FAILURE,
+                Quarry::Loss(_) => ExitCode::SUCCESS,
+            })
+        }
+        Command::Sweep {
+            common,
+            key,
+            values,
+            policy,
+        } => {
+            for value in values {
+                let scenario = common.read(&[format!("{key}={value}")])?;
+                let side = Side { scenario, policy };
+                let outcomes = play(&[side], &common.seeds(), threads(common.threads));
+                print!("{key} = {value:<10}");
+                for (figure, name) in FIGURES.iter().enumerate() {
+                    print!("  {name} {}", shown(&estimate(&outcomes[0], figure)));
+                }
+                println!();
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+fn estimate(outcomes: &[Outcome], figure: usize) -> Estimate {
+    let column: Vec<f64> = outcomes
+        .iter()
+        .map(|outcome| figures(outcome)[figure])
+        .collect();
+    Estimate::of(&column)
+}
+
+fn shown(estimate: &Estimate) -> String {
+    match estimate.half.is_finite() {
+        true => format!("{:.4} ± {:.4}", estimate.mean, estimate.half),
+        false => format!("{:.4}", estimate.mean),
+    }
+}
+
+fn mean(outcomes: &[Outcome], of: impl Fn(&Outcome) -> f64) -> f64 {
+    outcomes.iter().map(of).sum::<f64>() / outcomes.len().max(1) as f64
+}
+
+/// Exit 1 where a rule was broken.
+fn run(scenario: &Scenario, policy: PolicyKind, common: &Common) -> ExitCode {
+    let side = |policy| Side {
+        scenario: scenario.clone(),
+        policy,
+    };
+    let sides = [
+        side(policy),
+        side(PolicyKind::Random),
+        side(PolicyKind::Bound),
+    ];
+    let start = Instant::now();
+    let outcomes = play(&sides, &common.seeds(), threads(common.threads));
+    let took = start.elapsed().as_secs_f64();
+    let own = &outcomes[0];
+    let breaches: usize = own.iter().map(|outcome| outcome.breach_count).sum();
+    let plain = |side: usize, figure| estimate(&outcomes[side], figure).mean;
+    if common.json {
+        let figures: serde_json::Map<String, serde_json::Value> = FIGURES
+            .iter()
+            .enumerate()
+            .map(|(n, name)| {
+                let estimate = estimate(own, n);
+                let score = score(estimate.mean, plain(1, n), plain(2, n));
+                let value = json!({"mean": estimate.mean, "half": estimate.half, "score": score});
+                ((*name).to_string(), value)
+            })
+            .collect();
+        let value = json!({
+            "scenario": scenario.name, "policy": policy.name(), "seeds": own.len(),
+            "figures": figures, "breaches": breaches,
+            "moves": mean(own, |o| o.moves as f64), "refused": mean(own, |o| o.refused as f64),
+            "requests": mean(own, |o| o.requests as f64), "spread": mean(own, |o| o.spread),
+        });
+        println!("{value:#}");
+    } else {
+        println!(
+            "{}: {} proxies, {} servers, {:.0} s, {} seeds, three policies in {took:.1} s",
+            scenario.name,
+            scenario.proxies,
+            scenario.servers,
+            scenario.seconds,
+            own.len()
+        );
+        println!(
+            "{:<12} {:<20} {:>8} {:>8} {:>8}",
+            "service",
+            policy.name(),
+            "score",
+            "random",
+            "bound"
+        );
+        for (n, name) in FIGURES.iter().enumerate() {
+            let estimate = estimate(own, n);
+            let (random, bound) = (plain(1, n), plain(2, n));
+            let score = score(estimate.mean, random, bound);
+            let service = shown(&estimate);
+            println!("{name:<12} {service:<20} {score:>8.3} {random:>8.4} {bound:>8.4}");
+        }
+        println!(
+            "a run: {:.0} clients, {:.0} requests, {:.0} refused, {:.0} failed, {:.0} moves, \
+             {:.0} probes, set-up p50 {:.1} ms p99 {:.1} ms, spread of loads {:.3}",
+            mean(own, |o| o.clients as f64),
+            mean(own, |o| o.requests as f64),
+            mean(own, |o| o.refused as f64),
+            mean(own, |o| o.failed as f64),
+            mean(own, |o| o.moves as f64),
+            mean(own, |o| o.probes as f64),
+            mean(own, |o| o.setup_ms[0]),
+            mean(own, |o| o.setup_ms[1]),
+            mean(own, |o| o.spread),
+        );
+    }
+    for (seed, outcome) in common.seeds().iter().zip(own) {
+        for breach in outcome.breaches.iter().take(3) {
+            eprintln!(
+                "seed {seed}, {:.2} s, {:?}: {}",
+                breach.at, breach.rule, breach.what
+            );
+        }
+    }
+    match breaches {
+        0 => ExitCode::SUCCESS,
+        _ => {
+            eprintln!("{breaches} broken rules");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn compare(a: &Side, b: &Side, precision: f64, common: &Common) {
+    let seeds = common.seeds();
+    let comparison = experiment::compare(a, b, &seeds, precision, threads(common.threads));
+    if common.json {
+        let rows: Vec<_> = FIGURES
+            .iter()
+            .enumerate()
+            .map(|(n, name)| {
+                let difference = comparison.difference[n];
+                json!({"figure": name, "a": comparison.sides[0][n].mean,
+                       "b": comparison.sides[1][n].mean, "difference": difference.mean,
+                       "half": difference.half, "seeds_needed": difference.seeds_for(precision)})
+            })
+            .collect();
+        println!("{:#}", json!({"seeds": comparison.seeds, "figures": rows}));
+        return;
+    }
+    println!("{} seeds, the same for both", comparison.seeds);
+    println!("{:<12} {:>9} {:>9}  difference of b", "service", "a", "b");
+    for (n, name) in FIGURES.iter().enumerate() {
+        let difference = comparison.difference[n];
+        let [one, two] = [0, 1].map(|side| comparison.sides[side][n].mean);
+        let verdict = match difference.excludes_zero() {
+            true if difference.mean > 0.0 => "better".to_string(),
+            true => "worse".to_string(),
+            // Half the interval has to shrink to the difference itself.
+            false if difference.mean == 0.0 => "none".to_string(),
+            false => format!(
+                "unsure, about {} seeds",
+                difference.seeds_for(difference.mean.abs())
+            ),
+        };
+        println!(
+            "{name:<12} {one:>9.4} {two:>9.4}  {}  {verdict}",
+            shown(&difference)
+        );
+    }
+    println!(
+        "moves a run {:.0} and {:.0}, broken rules {} and {}",
+        comparison.moves[0], comparison.moves[1], comparison.breaches[0], comparison.breaches[1]
+    );
+}
--- /dev/null
+++ b/crates/lab/src/model/mod.rs
@@ -0,0 +1,11 @@
+//! A fleet in simulated time. Everything random comes from streams of the run's seed, one a purpose, so
+//! that two policies on one seed meet the same clients, loads and troubles.
+
+mod policy;
+mod rules;
+mod server;
+mod world;
+
+pub use policy::{Policy, PolicyKind, Truth};
+pub use rules::{Breach, Rule};
+pub use world::{Outcome, run};
--- /dev/null
+++ b/crates/lab/src/model/rules.rs
@@ -0,0 +1,170 @@
+//! The four rules, checked by books of their own: nothing here asks a policy or a server's model what
+//! it believes.
+
+use std::collections::HashMap;
+
+use violetwind_balancer::api::Effect;
+
+/// A limit is 50 ms longer than the rule says: what was on its way then may still come.
+const SLACK: f64 = 0.05;
+/// Nothing new reaches a server this long after its drain was told.
+const DRAIN: f64 = 0.3;
+/// A cold server is pushed over when it is asked for so many times what it can do for so long.
+const FALL_MULTIPLE: f64 = 3.0;
+const FALL_FOR: f64 = 1.5;
+/// Breaches that are kept; the others are counted.
+const KEPT: usize = 50;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// No final answer in time, or more than one.
+    Lost,
+    /// An effect twice.
+    Twice,
+    /// A drained server was sent something new.
+    Drain,
+    /// A cold server was pushed over.
+    Cold,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Breach {
+    pub rule: Rule,
+    pub at: f64,
+    pub what: String,
+}
+
+#[derive(Debug)]
+struct Request {
+    deadline: f64,
+    answers: u32,
+    effects: u32,
+    effect: Effect,
+}
+
+#[derive(Debug, Default)]
+pub struct Rules {
+    requests: HashMap<u64, Request>,
+    /// When each proxy was told that a server drains.
+    drains: HashMap<(usize, u32), f64>,
+    /// Since when a cold server has been asked for too much.
+    over: HashMap<u32, f64>,
+    pub breaches: Vec<Breach>,
+    pub count: usize,
+}
+
+impl Rules {
+    fn breach(&mut self, rule: Rule, at: f64, what: String) {
+        self.count += 1;
+        if self.breaches.len() < KEPT {
+            self.breaches.push(Breach { rule, at, what });
+        }
+    }
+
+    pub fn asked(&mut self, id: u64, deadline: f64, effect: Effect) {
+        let request = Request {
+            deadline,
+            answers: 0,
+            effects: 0,
+            effect,
+        };
+        self.requests.insert(id, request);
+    }
+
+    pub fn answered(&mut self, now: f64, id: u64) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return self.breach(
+                Rule::Lost,
+                now,
+                format!("request {id}: an answer to nobody"),
+            );
+        };
+        request.answers += 1;
+        let (answers, late) = (request.answers, now - request.deadline);
+        if answers > 1 {
+            self.breach(
+                Rule::Lost,
+                now,
+                format!("request {id}: {answers} final answers"),
+            );
+        } else if late > SLACK {
+            self.breach(
+                Rule::Lost,
+                now,
+                format!("request {id}: answered {late:.2} s late"),
+            );
+        }
+    }
+
+    /// The client gave up itself, or its proxy is gone: nothing is owed.
+    pub fn excused(&mut self, id: u64) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.answers = request.answers.max(1);
+        }
+    }
+
+    /// A server did what was asked.
+    pub fn ran(&mut self, now: f64, id: u64) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.effects += 1;
+        let twice = request.effects > 1 && request.effect == Effect::Unsafe;
+        if twice {
+            self.breach(Rule::Twice, now, format!("request {id}: ran twice"));
+        }
+    }
+
+    pub fn drain_told(&mut self, now: f64, proxy: usize, server: u32, drains: bool) {
+        match drains {
+            true => drop(self.drains.entry((proxy, server)).or_insert(now)),
+            false => drop(self.drains.remove(&(proxy, server))),
+        }
+    }
+
+    /// A proxy that starts anew has been told nothing.
+    pub fn proxy_forgets(&mut self, proxy: usize) {
+        self.drains.retain(|(of, _), _| *of != proxy);
+    }
+
+    pub fn sent(&mut self, now: f64, proxy: usize, server: u32) {
+        if let Some(told) = self.drains.get(&(proxy, server))
+            && now > told + DRAIN + SLACK
+        {
+            let late = now - told;
+            let what =
+                format!("proxy {proxy} sends to server {server} {late:.2} s after its drain");
+            self.breach(Rule::Drain, now, what);
+        }
+    }
+
+    /// What a server is asked for over what it can do now, while it is cold.
+    pub fn cold_load(&mut self, now: f64, server: u32, cold: bool, load: f64) {
+        if !cold || load <= FALL_MULTIPLE {
+            self.over.remove(&server);
+            return;
+        }
+        let since = *self.over.entry(server).or_insert(now);
+        if now > since + FALL_FOR + SLACK {
+            // Once a fall.
+            self.over.insert(server, f64::INFINITY);
+            let what = format!("server {server}: asked for {load:.1} times what it can do");
+            self.breach(Rule::Cold, now, what);
+        }
+    }
+
+    /// The end of the run: what is due by then and has no answer.
+    pub fn end(&mut self, now: f64) {
+        let due = |request: &Request| request.answers == 0 && request.deadline + SLACK < now;
+        let mut lost: Vec<u64> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| due(request))
+            .map(|(id, _)| *id)
+            .collect();
+        lost.sort_unstable();
+        for id in lost {
+            self.breach(Rule::Lost, now, format!("request {id}: no final answer"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/lab.rs
@@ -0,0 +1,161 @@
+//! The lab holds to what it says: runs repeat, rules are seen to break, files are checked.
+
+use violetwind_lab::experiment::{Side, compare, play, score};
+use violetwind_lab::hunt::{Quarry, hunt};
+use violetwind_lab::model::{PolicyKind, Rule, run};
+use violetwind_lab::scenario::{Kind, Scenario};
+
+const SMALL: &str = include_str!("../scenarios/small-day.toml");
+const CAMPAIGN: &str = include_str!("../scenarios/campaign.toml");
+
+fn read(text: &str) -> Scenario {
+    Scenario::parse("test.toml", text, &[]).unwrap()
+}
+
+fn side(text: &str, policy: PolicyKind) -> Side {
+    Side {
+        scenario: read(text),
+        policy,
+    }
+}
+
+#[test]
+fn two_runs_of_one_seed_give_the_same_bytes_on_one_thread_and_on_eight() {
+    let sides = [
+        side(SMALL, PolicyKind::Module),
+        side(CAMPAIGN, PolicyKind::TwoChoices),
+    ];
+    let one = format!("{:?}", play(&sides, &[1, 2, 3, 4], 1));
+    let eight = format!("{:?}", play(&sides, &[1, 2, 3, 4], 8));
+    assert_eq!(one, eight);
+    let other = format!("{:?}", play(&sides, &[5, 6, 7, 8], 8));
+    assert_ne!(one, other);
+}
+
+/// The module keeps the rules through the hard cases: heavy requests, a rolling deploy with cold
+/// successors, and both at once.
+#[test]
+fn the_module_keeps_the_rules_in_the_hard_cases() {
+    let campaign = read(CAMPAIGN);
+    let only = |kind: Kind| {
+        let mut scenario = campaign.clone();
+        scenario.troubles.retain(|trouble| trouble.kind == kind);
+        assert_eq!(scenario.troubles.len(), 1);
+        scenario
+    };
+    for scenario in [only(Kind::Heavy), only(Kind::Deploy), campaign.clone()] {
+        for seed in 1..=3 {
+            let outcome = run(&scenario, PolicyKind::Module, seed);
+            assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches);
+            assert!(outcome.requests > 1000 && outcome.service > 0.5);
+        }
+    }
+}
+
+#[test]
+fn every_trouble_is_played_and_leaves_the_books_whole() {
+    for kind in Kind::ALL {
+        let mut scenario = read(SMALL);
+        scenario.seconds = 40.0;
+        scenario.troubles.truncate(1);
+        scenario.troubles[0].kind = kind;
+        (scenario.troubles[0].from, scenario.troubles[0].to) = kind.usual();
+        let calm = run(
+            &Scenario {
+                troubles: Vec::new(),
+                ..scenario.clone()
+            },
+            PolicyKind::Module,
+            1,
+        );
+        let outcome = run(&scenario, PolicyKind::Module, 1);
+        assert!((0.0..=1.0).contains(&outcome.service), "{kind:?}");
+        // Something came of it.
+        let same = outcome.series == calm.series && outcome.requests == calm.requests;
+        assert!(
+            !same || kind == Kind::CatalogueSilent,
+            "{kind:?} changes nothing"
+        );
+    }
+}
+
+/// Worse policies score less, and nothing beats the one that sees everything by much.
+#[test]
+fn policies_come_in_the_order_that_is_to_be_expected() {
+    let sides = [PolicyKind::Random, PolicyKind::Module, PolicyKind::Bound];
+    let sides = sides.map(|policy| side(CAMPAIGN, policy));
+    let outcomes = play(&sides, &[1, 2, 3, 4, 5], 8);
+    let mean = |n: usize| outcomes[n].iter().map(|o| o.service).sum::<f64>() / 5.0;
+    assert!(mean(0) + 0.05 < mean(1) && mean(1) < mean(2) + 0.01);
+    assert_eq!(score(mean(0), mean(0), mean(2)), 0.0);
+    assert_eq!(score(mean(2), mean(0), mean(2)), 1.0);
+}
+
+#[test]
+fn moves_are_better_than_none_by_an_interval_that_leaves_out_zero() {
+    let (a, b) = (
+        side(CAMPAIGN, PolicyKind::NoMoves),
+        side(CAMPAIGN, PolicyKind::Module),
+    );
+    let seeds: Vec<u64> = (1..=40).collect();
+    let comparison = compare(&a, &b, &seeds, 0.001, 8);
+    let whole = comparison.difference[0];
+    assert!(whole.excludes_zero() && whole.mean > 0.0, "{whole:?}");
+    assert_eq!(comparison.breaches, [0, 0]);
+}
+
+#[test]
+fn a_planted_break_is_found_and_shrunk() {
+    let base = read(SMALL);
+    let found = hunt(&base, PolicyKind::Deaf, 3, 50).expect("it does not listen to drains");
+    assert_eq!(found.quarry, Quarry::Broken(Rule::Drain));
+    assert_eq!(
+        found.scenario.troubles.len(),
+        1,
+        "{:?}",
+        found.scenario.troubles
+    );
+    assert!(found.shrinks > 0 && found.scenario.servers <= base.servers);
+    // It can be committed: the file says the same, and shows the same.
+    let again = read(&found.scenario.to_toml());
+    let outcome = run(&again, PolicyKind::Deaf, found.seed);
+    assert!(
+        outcome
+            .breaches
+            .iter()
+            .any(|breach| breach.rule == Rule::Drain)
+    );
+    let sound = run(&again, PolicyKind::Module, found.seed);
+    assert!(sound.breaches.is_empty());
+}
+
+#[test]
+fn a_scenario_is_checked_like_the_operators_file() {
+    let text = "secnds = \"60s\"\n[fleet]\nproxies = 0\nservers = 100000\n[demand]\nfill = \"much\"\n\
+                [[class]]\nname = \"a\"\n[[trouble]]\nkind = \"crush\"\nzone = 9\n";
+    let problems = Scenario::parse("s.toml", text, &[]).unwrap_err();
+    let told: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    let expected = [
+        "s.toml:1: `secnds`: no such key (did you mean `seconds`?)",
+        "s.toml:3: `fleet.proxies`: 0 is not from 1 to 10000",
+        "s.toml:6: `demand.fill`: expected a number, found \"much\"",
+    ];
+    for line in expected {
+        assert!(told.iter().any(|told| told == line), "{line}: {told:#?}");
+    }
+    assert!(
+        told.iter()
+            .any(|told| told.contains("`trouble.0.kind`: expected \"crash\" or"))
+    );
+}
+
+#[test]
+fn one_that_asks_for_more_memory_than_there_is_is_refused_with_the_figure() {
+    let set = [
+        "fleet.proxies=10000".to_string(),
+        "fleet.servers=100000".to_string(),
+    ];
+    let problems = Scenario::parse("s.toml", SMALL, &set).unwrap_err();
+    let told = problems[0].to_string();
+    assert!(told.contains("GB of memory, 4.3 GB at most"), "{told}");
+}
