--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -806,7 +806,8 @@
     /// A proxy hears of a server from the list.
     fn told(&mut self, proxy: usize, server: ServerId, status: Status, born: Option<f64>) {
         if self.now < self.list_silent_until {
-            let later = self.list_silent_until;
+            // Past it by more than the clock's nanosecond, or it would come too early for good.
+            let later = self.list_silent_until + 1e-6;
             return self.at(later, Step::Told(proxy, server, status, born));
         }
         let drains = status != Status::Up;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -357,7 +357,8 @@
         self.demand.fill * self.server.capacity * self.servers as f64 / each.max(1e-9)
     }
 
-    /// About the memory that a run takes: each proxy's books of all servers, and all clients.
+    /// About the memory that a run takes: each proxy's books of all servers, and all clients,
+    /// should all bursts come at once.
     pub fn bytes(&self) -> u64 {
         let books = self.proxies as f64 * self.servers as f64 * 700.0;
         let hold: f64 = self
@@ -365,7 +366,9 @@
             .iter()
             .map(|class| class.hold)
             .fold(0.0, f64::max);
-        let clients = self.rate() * (hold + self.seconds) * 600.0;
+        let bursts = self.troubles.iter().filter(|t| t.kind == Kind::Burst);
+        let bursts: f64 = bursts.map(|t| t.from.max(1.0)).product();
+        let clients = self.rate() * (hold + self.seconds * bursts) * 600.0;
         (books + clients).min(1e18) as u64
     }
 }
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -104,6 +104,19 @@
     assert_eq!(comparison.breaches, [0, 0]);
 }
 
+/// A list held back to a moment that no nanosecond meets was held back again and again, without end.
+#[test]
+fn lists_held_back_are_told_when_the_silence_ends() {
+    let mut scenario = read(SMALL);
+    scenario.seconds = 40.0;
+    scenario.troubles.truncate(1);
+    let mut silence = scenario.troubles[0].clone();
+    (silence.kind, silence.at, silence.lasts) = (Kind::CatalogueSilent, 14.0, 7.123_456_789_123);
+    scenario.troubles.push(silence);
+    let outcome = run(&scenario, PolicyKind::Module, 1);
+    assert!(outcome.breaches.is_empty() && outcome.requests > 0);
+}
+
 #[test]
 fn a_planted_break_is_found_and_shrunk() {
     let base = read(SMALL);
