--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod experiment;
 pub mod hunt;
 pub mod model;
+pub mod report;
 pub mod scenario;
 pub mod stats;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,6 @@
 //! `violetwind-lab`: plays fleets, compares settings and policies, with error bars.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
 
@@ -9,6 +9,7 @@
 use violetwind_lab::experiment::{self, FIGURES, Side, figures, play, score, threads};
 use violetwind_lab::hunt::{Quarry, hunt};
 use violetwind_lab::model::{Outcome, PolicyKind};
+use violetwind_lab::report::{self, Played};
 use violetwind_lab::scenario::Scenario;
 use violetwind_lab::stats::Estimate;
 
@@ -20,7 +21,8 @@
     after_help = "\
 Examples:
   violetwind-lab run crates/lab/scenarios/small-day.toml
-  violetwind-lab run crates/lab/scenarios/campaign.toml --policy bound --seeds 5 --json
+  violetwind-lab run crates/lab/scenarios/campaign.toml --report campaign.html
+  violetwind-lab run crates/lab/scenarios/campaign.toml --policy two-choices --seeds 5 --json
   violetwind-lab compare crates/lab/scenarios/small-day.toml --policy-a no-moves --policy-b module
   violetwind-lab compare crates/lab/scenarios/small-day.toml --set-b demand.fill=0.8
   violetwind-lab hunt crates/lab/scenarios/small-day.toml --seeds 7 --most 500
@@ -39,6 +41,9 @@
         common: Common,
         #[arg(long, default_value = "module", value_parser = policy)]
         policy: PolicyKind,
+        /// Write one HTML file with plots, and the series as FILE.csv beside it.
+        #[arg(long, value_name = "FILE")]
+        report: Option<PathBuf>,
     },
     /// Two settings, scenarios or policies on the same seeds: the paired difference and its interval.
     Compare {
@@ -136,9 +141,13 @@
 
 fn carry_out(command: Command) -> Result<ExitCode, ExitCode> {
     match command {
-        Command::Run { common, policy } => {
+        Command::Run {
+            common,
+            policy,
+            report,
+        } => {
             let scenario = common.read(&[])?;
-            Ok(run(&scenario, policy, &common))
+            Ok(run(&scenario, policy, &common, report.as_deref()))
         }
         Command::Compare {
             common,
@@ -226,7 +235,12 @@
 }
 
 /// Exit 1 where a rule was broken.
-fn run(scenario: &Scenario, policy: PolicyKind, common: &Common) -> ExitCode {
+fn run(
+    scenario: &Scenario,
+    policy: PolicyKind,
+    common: &Common,
+    report: Option<&Path>,
+) -> ExitCode {
     let side = |policy| Side {
         scenario: scenario.clone(),
         policy,
@@ -240,6 +254,12 @@
     let outcomes = play(&sides, &common.seeds(), threads(common.threads));
     let took = start.elapsed().as_secs_f64();
     let own = &outcomes[0];
+    if let Some(path) = report
+        && let Err(error) = write_report(path, scenario, policy, &outcomes)
+    {
+        eprintln!("{}: {error}", path.display());
+        return ExitCode::FAILURE;
+    }
     let breaches: usize = own.iter().map(|outcome| outcome.breach_count).sum();
     let plain = |side: usize, figure| estimate(&outcomes[side], figure).mean;
     if common.json {
@@ -315,6 +335,25 @@
     }
 }
 
+fn write_report(
+    path: &Path,
+    scenario: &Scenario,
+    policy: PolicyKind,
+    outcomes: &[Vec<Outcome>],
+) -> Result<(), Box<dyn std::error::Error>> {
+    let names = [policy.name(), "random", "bound"];
+    let played = names.iter().zip(outcomes);
+    let played: Vec<Played<'_>> = played
+        .map(|(name, outcomes)| Played { name, outcomes })
+        .collect();
+    std::fs::write(path, report::html(scenario, &played)?)?;
+    std::fs::write(
+        path.with_extension("csv"),
+        report::csv(scenario, &outcomes[0]),
+    )?;
+    Ok(())
+}
+
 fn compare(a: &Side, b: &Side, precision: f64, common: &Common) {
     let seeds = common.seeds();
     let comparison = experiment::compare(a, b, &seeds, precision, threads(common.threads));
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -44,8 +44,12 @@
     pub spread: f64,
     pub breaches: Vec<Breach>,
     pub breach_count: usize,
-    /// Service second by second.
+    /// Second by second: service; the lowest, mean and highest load of servers that are up; moves and
+    /// refusals.
     pub series: Vec<f64>,
+    pub band: Vec<[f64; 3]>,
+    pub moves_by_second: Vec<f64>,
+    pub refused_by_second: Vec<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -177,6 +181,9 @@
     failed: u64,
     moves: u64,
     probes: u64,
+    band: Vec<[f64; 3]>,
+    moves_by_second: Vec<f64>,
+    refused_by_second: Vec<f64>,
 }
 
 /// A stream of its own for each purpose.
@@ -250,7 +257,12 @@
             wanted: vec![vec![0.0; set.classes.len()]; seconds],
             setups: Histogram::new_with_bounds(1, 600_000_000, 2).expect("sound bounds"),
             spread: (0.0, 0.0),
-            counts: Counts::default(),
+            counts: Counts {
+                band: vec![[0.0; 3]; seconds],
+                moves_by_second: vec![0.0; seconds],
+                refused_by_second: vec![0.0; seconds],
+                ..Counts::default()
+            },
             actions: Vec::new(),
             set,
         }
@@ -565,6 +577,7 @@
             return;
         };
         self.counts.moves += 1;
+        self.counts.moves_by_second[self.now as usize] += 1.0;
         self.last(id, proxy, server, Ending::Cancelled);
         // It was served: that it comes again is not a retry that wears it out.
         self.clients[n].tries = 1;
@@ -638,6 +651,7 @@
                 let Some(asked) = self.forget(id) else { return };
                 self.rules.answered(self.now, id);
                 self.counts.refused += 1;
+                self.counts.refused_by_second[self.now as usize] += 1.0;
                 self.again(asked.client, wait.unwrap_or(self.set.demand.retry));
             }
             Action::Fail(id) => {
@@ -922,6 +936,7 @@
         let set = self.set;
         self.want(0, 0.0);
         let (mut sum, mut squares, mut up) = (0.0, 0.0, 0.0);
+        let (mut low, mut high) = (f64::INFINITY, 0.0_f64);
         for n in 0..self.servers.len() {
             self.account(n as ServerId);
             let wrong: f64 = StandardNormal.sample(&mut self.noise);
@@ -938,8 +953,12 @@
             self.rules.cold_load(self.now, n as u32, cold, figure);
             if place.life == Life::Up {
                 (sum, squares, up) = (sum + figure, squares + figure * figure, up + 1.0);
+                (low, high) = (low.min(figure), high.max(figure));
             }
         }
+        if up > 0.0 {
+            self.counts.band[self.now as usize] = [low, sum / up, high];
+        }
         if sum > 0.0 && self.now >= set.warm_up {
             let mean: f64 = sum / up;
             let variance: f64 = (squares / up - mean * mean).max(0.0);
@@ -1136,6 +1155,9 @@
             series: (0..self.set.seconds as usize)
                 .map(|s| part(s..s + 1, None))
                 .collect(),
+            band: self.counts.band,
+            moves_by_second: self.counts.moves_by_second,
+            refused_by_second: self.counts.refused_by_second,
             breaches: self.rules.breaches,
             breach_count: self.rules.count,
         }
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,195 @@
+//! One HTML file that needs nothing else: tables, and plots as SVG.
+
+use std::fmt::Write;
+
+use plotters::prelude::*;
+
+use crate::experiment::{FIGURES, figures, score};
+use crate::model::Outcome;
+use crate::scenario::Scenario;
+use crate::stats::Estimate;
+
+const SIZE: (u32, u32) = (860, 260);
+const COLOURS: [RGBColor; 3] = [
+    RGBColor(20, 90, 160),
+    RGBColor(190, 90, 20),
+    RGBColor(60, 140, 60),
+];
+
+/// One policy's outcomes, a seed each.
+pub struct Played<'a> {
+    pub name: &'a str,
+    pub outcomes: &'a [Outcome],
+}
+
+/// The mean over seeds of a series, second by second.
+fn mean(outcomes: &[Outcome], of: impl Fn(&Outcome, usize) -> f64, seconds: usize) -> Vec<f64> {
+    let at = |second| outcomes.iter().map(|o| of(o, second)).sum::<f64>();
+    let count = outcomes.len().max(1) as f64;
+    (0..seconds).map(|second| at(second) / count).collect()
+}
+
+type Failure = Box<dyn std::error::Error>;
+
+/// A plot of lines over seconds; the first two may enclose a band.
+fn plot(title: &str, lines: &[(&str, Vec<f64>)], band: bool, most: f64) -> Result<String, Failure> {
+    let mut svg = String::new();
+    {
+        let seconds = lines.iter().map(|line| line.1.len()).max().unwrap_or(1);
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(8)
+            .caption(title, ("sans-serif", 16))
+            .x_label_area_size(28)
+            .y_label_area_size(48)
+            .build_cartesian_2d(0.0..seconds as f64, 0.0..most)?;
+        chart.configure_mesh().x_desc("s").draw()?;
+        let points = |line: &[f64]| -> Vec<(f64, f64)> {
+            let points = line.iter().enumerate();
+            points.map(|(x, y)| (x as f64 + 0.5, *y)).collect()
+        };
+        if band && lines.len() >= 2 {
+            let mut outline = points(&lines[0].1);
+            outline.extend(points(&lines[1].1).into_iter().rev());
+            chart.draw_series(std::iter::once(Polygon::new(outline, COLOURS[0].mix(0.2))))?;
+        }
+        for (n, (name, line)) in lines.iter().enumerate() {
+            let colour = COLOURS[n % COLOURS.len()];
+            chart
+                .draw_series(LineSeries::new(points(line), &colour))?
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK.mix(0.3))
+            .draw()?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
+
+/// The page. The first of `played` is what is looked at, the second and third are random and the bound.
+pub fn html(scenario: &Scenario, played: &[Played<'_>]) -> Result<String, Failure> {
+    let seconds = scenario.seconds as usize;
+    let own = played[0].outcomes;
+    let mut page = String::new();
+    write!(
+        page,
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{name}</title>\
+         <style>body{{font:15px sans-serif;max-width:880px;margin:2em auto}}\
+         table{{border-collapse:collapse}}td,th{{padding:.2em .8em;border:1px solid #ccc;text-align:right}}\
+         </style><h1>{name}</h1><p>{proxies} proxies, {servers} servers, {seconds} s, {seeds} seeds.</p>",
+        name = escaped(&scenario.name),
+        proxies = scenario.proxies,
+        servers = scenario.servers,
+        seeds = own.len(),
+    )?;
+    write!(page, "<table><tr><th>service</th>")?;
+    for one in played {
+        write!(page, "<th>{}</th>", escaped(one.name))?;
+    }
+    write!(page, "<th>score</th></tr>")?;
+    for (n, name) in FIGURES.iter().enumerate() {
+        let column = |one: &Played<'_>| -> Estimate {
+            let column: Vec<f64> = one.outcomes.iter().map(|o| figures(o)[n]).collect();
+            Estimate::of(&column)
+        };
+        write!(page, "<tr><td>{name}</td>")?;
+        for one in played {
+            let estimate = column(one);
+            write!(page, "<td>{:.4} ± {:.4}</td>", estimate.mean, estimate.half)?;
+        }
+        let of = |n: usize| played.get(n).map_or(0.0, |one| column(one).mean);
+        write!(page, "<td>{:.3}</td></tr>", score(of(0), of(1), of(2)))?;
+    }
+    write!(page, "</table>")?;
+    let second = |series: &[f64], at: usize| series.get(at).copied().unwrap_or(0.0);
+    let services: Vec<(&str, Vec<f64>)> = played
+        .iter()
+        .map(|one| {
+            (
+                one.name,
+                mean(one.outcomes, |o, at| second(&o.series, at), seconds),
+            )
+        })
+        .collect();
+    page += &plot("service", &services, false, 1.05)?;
+    let band = |part: usize| {
+        let of = move |o: &Outcome, at: usize| o.band.get(at).map_or(0.0, |band| band[part]);
+        mean(own, of, seconds)
+    };
+    let loads = [("lowest", band(0)), ("highest", band(2)), ("mean", band(1))];
+    let most = loads[1].1.iter().copied().fold(1.2, f64::max).min(3.0);
+    page += &plot("load of servers over what they can do", &loads, true, most)?;
+    let moves = mean(own, |o, at| second(&o.moves_by_second, at), seconds);
+    let refused = mean(own, |o, at| second(&o.refused_by_second, at), seconds);
+    let highest = moves.iter().chain(&refused).copied().fold(1.0, f64::max);
+    let counts = [("moves", moves), ("refusals", refused)];
+    page += &plot("moves and refusals a second", &counts, false, highest * 1.1)?;
+    write!(
+        page,
+        "<h2>Time from a request to its connection</h2><table><tr><th>quantile</th>"
+    )?;
+    for one in played {
+        write!(page, "<th>{} (ms)</th>", escaped(one.name))?;
+    }
+    for (n, quantile) in ["50%", "99%", "99.9%"].iter().enumerate() {
+        write!(page, "</tr><tr><td>{quantile}</td>")?;
+        for one in played {
+            let sum: f64 = one.outcomes.iter().map(|o| o.setup_ms[n]).sum();
+            write!(
+                page,
+                "<td>{:.1}</td>",
+                sum / one.outcomes.len().max(1) as f64
+            )?;
+        }
+    }
+    write!(page, "</tr></table><h2>Broken rules</h2><ul>")?;
+    let breaches = own.iter().flat_map(|outcome| &outcome.breaches);
+    for breach in breaches.clone().take(50) {
+        write!(
+            page,
+            "<li>{:.2} s, {:?}: {}</li>",
+            breach.at,
+            breach.rule,
+            escaped(&breach.what)
+        )?;
+    }
+    if breaches.count() == 0 {
+        write!(page, "<li>none</li>")?;
+    }
+    write!(page, "</ul></html>")?;
+    Ok(page)
+}
+
+/// The series as CSV: a row a second, means over seeds.
+pub fn csv(scenario: &Scenario, own: &[Outcome]) -> String {
+    let seconds = scenario.seconds as usize;
+    let mut out = String::from("second,service,load_low,load_mean,load_high,moves,refused\n");
+    let at = |series: &[f64], n: usize| series.get(n).copied().unwrap_or(0.0);
+    let columns = [
+        mean(own, |o, n| at(&o.series, n), seconds),
+        mean(own, |o, n| o.band.get(n).map_or(0.0, |b| b[0]), seconds),
+        mean(own, |o, n| o.band.get(n).map_or(0.0, |b| b[1]), seconds),
+        mean(own, |o, n| o.band.get(n).map_or(0.0, |b| b[2]), seconds),
+        mean(own, |o, n| at(&o.moves_by_second, n), seconds),
+        mean(own, |o, n| at(&o.refused_by_second, n), seconds),
+    ];
+    for second in 0..seconds {
+        let row: Vec<String> = columns
+            .iter()
+            .map(|c| format!("{:.4}", c[second]))
+            .collect();
+        out += &format!("{second},{}\n", row.join(","));
+    }
+    out
+}
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -3,6 +3,7 @@
 use violetwind_lab::experiment::{Side, compare, play, score};
 use violetwind_lab::hunt::{Quarry, hunt};
 use violetwind_lab::model::{PolicyKind, Rule, run};
+use violetwind_lab::report::{self, Played};
 use violetwind_lab::scenario::{Kind, Scenario};
 
 const SMALL: &str = include_str!("../scenarios/small-day.toml");
@@ -172,3 +173,29 @@
     let told = problems[0].to_string();
     assert!(told.contains("GB of memory, 4.3 GB at most"), "{told}");
 }
+
+/// One file that needs nothing else: no link, no script, all plots within.
+#[test]
+fn a_report_holds_its_plots_and_the_series_all_seconds() {
+    let scenario = read(SMALL);
+    let sides = [PolicyKind::Module, PolicyKind::Random, PolicyKind::Bound];
+    let sides = sides.map(|policy| side(SMALL, policy));
+    let outcomes = play(&sides, &[1, 2], 4);
+    let played: Vec<Played> = ["module", "random", "bound"]
+        .iter()
+        .zip(&outcomes)
+        .map(|(name, outcomes)| Played { name, outcomes })
+        .collect();
+    let page = report::html(&scenario, &played).unwrap();
+    assert_eq!(page.matches("<svg").count(), 3);
+    assert!(page.contains("worst class") && !page.contains("<script") && !page.contains("href"));
+    let csv = report::csv(&scenario, &outcomes[0]);
+    assert_eq!(csv.lines().count(), 61);
+    let moves: f64 = csv
+        .lines()
+        .skip(1)
+        .map(|l| l.split(',').nth(5).unwrap().parse::<f64>().unwrap())
+        .sum();
+    let told = outcomes[0].iter().map(|o| o.moves as f64).sum::<f64>() / 2.0;
+    assert!((moves - told).abs() < 0.1, "{moves} {told}");
+}
