The proxy can record what came in, for replay in the lab

Change: crates/record writes checksummed records on a thread of its own behind a bounded queue, rotates files by size, and reads up to a cut or an altered byte and says so; a [record] section of the operator's file switches it on. Class, tenant, group as a hash, times, outcome and load are kept, no ids. Off it is one test of an Option a request.

--- a/crates/proxy/src/book.rs
+++ b/crates/proxy/src/book.rs
@@ -4,11 +4,14 @@
 use std::rc::Rc;
 
 use tokio::sync::mpsc;
-use violetwind_balancer::api::{Ended, Outcome, Report, RequestId, ServerId};
+use tokio::time::Instant;
+use violetwind_balancer::api::{Ended, Outcome, Report, Request, RequestId, ServerId};
 
 use violetwind_engine::Notice;
+use violetwind_record::Answer;
 
 use crate::notes::{Note, Notes};
+use crate::recording::Entry;
 use crate::take_in::Shared;
 
 /// An entry in the engine's books, from the request until its end.
@@ -17,19 +20,29 @@
     id: RequestId,
     engine: mpsc::Sender<Notice>,
     notes: Rc<RefCell<Notes>>,
+    /// What a recording gets of it; nothing where none is made.
+    entry: Option<Box<Entry>>,
     closed: bool,
 }
 
 impl Booking {
-    pub fn new(id: RequestId, shared: &Shared) -> Self {
+    pub fn new(request: &Request, arrived: Instant, shared: &Shared) -> Self {
         Self {
-            id,
+            id: request.id,
             engine: shared.engine.clone(),
             notes: shared.notes.clone(),
+            entry: shared.recording.as_ref().map(|r| r.entry(request, arrived)),
             closed: false,
         }
     }
 
+    /// A server has it.
+    pub fn up(&self) {
+        if let Some(entry) = &self.entry {
+            entry.answer(Answer::Up);
+        }
+    }
+
     /// The end of an attempt, after which the module goes on.
     pub async fn attempt_ended(&self, server: ServerId, outcome: Outcome, report: Report) {
         self.tell_end(server, outcome, report, false).await;
@@ -37,6 +50,9 @@
 
     /// The figure of a `LOAD` line.
     pub async fn load(&self, server: ServerId, figure: f64) {
+        if let Some(entry) = &self.entry {
+            entry.load(figure);
+        }
         let note = self.notes.borrow_mut().read(figure);
         self.tell(match note {
             Note::Load(load) => Notice::Load(self.id, load),
@@ -74,7 +90,10 @@
     }
 
     /// The module itself has given the final answer.
-    pub fn answered(mut self) {
+    pub fn answered(mut self, answer: Answer) {
+        if let Some(entry) = &self.entry {
+            entry.answer(answer);
+        }
         self.closed = true;
     }
 
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -110,6 +110,13 @@
         &self.file["known"]
     }
 
+    /// The classes by their numbers.
+    pub fn class_names(&self) -> Vec<String> {
+        let classes = self.file["settings"]["request-classes"].as_array();
+        let name = |class: &Value| class["name"].as_str().unwrap_or("").to_string();
+        classes.into_iter().flatten().map(name).collect()
+    }
+
     /// The parts of another file that differ and that only a restart takes up. The seed and the
     /// known list are for a start alone, and discovery is what a reload is for.
     pub fn restart_needed<'a>(&'a self, other: &'a Self) -> Vec<&'a str> {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -15,6 +15,7 @@
 mod notes;
 mod operator;
 mod probe;
+mod recording;
 mod relay;
 mod reload;
 mod repeats;
@@ -35,6 +36,7 @@
 use tokio::sync::{mpsc, watch};
 use tracing::{info, warn};
 use violetwind_engine::{Clock, Engine, Setup};
+use violetwind_record::Recorder;
 
 use crate::cli::{Cli, Wanted};
 use crate::config::{Config, Reports};
@@ -43,6 +45,7 @@
 use crate::limits::{Descriptors, Limits};
 use crate::operator::{Layers, Operator};
 use crate::probe::Probes;
+use crate::recording::Recording;
 use crate::reload::{Reload, Reloaded};
 use crate::take_in::Shared;
 
@@ -138,7 +141,24 @@
         }
     };
     let descriptors = (requests.clone(), first_lines.clone());
-    let shared = Shared::new(&config, &limits, descriptors, notices.clone(), is_ready);
+    let recording = match &operator.record {
+        Some(record) => {
+            let classes = config.class_names();
+            let recorder = Recorder::start(&record.file, classes, record.limits.clone())?;
+            info!(file = %record.file.display(), "requests are recorded");
+            Some(Recording::new(recorder))
+        }
+        None => None,
+    };
+    let engine_too = notices.clone();
+    let shared = Shared::new(
+        &config,
+        &limits,
+        descriptors,
+        engine_too,
+        is_ready,
+        recording,
+    );
     let engine = tokio::task::spawn_local(engine.run(inbox, known, ready));
     let Reloaded { discovery, sources } = reloaded;
     match weighed {
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -34,9 +34,17 @@
     pub catalogue: violetwind_catalogue::Limits,
     /// None: the platform's discovery alone, taken at its word.
     pub sources: Vec<Source>,
+    /// Requests are recorded there.
+    pub record: Option<Recorded>,
     over: Over,
 }
 
+#[derive(Clone, Debug, PartialEq)]
+pub struct Recorded {
+    pub file: PathBuf,
+    pub limits: violetwind_record::Limits,
+}
+
 /// One source of servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Source {
@@ -127,6 +135,9 @@
         let section = root.section("catalogue");
         let catalogue = catalogue(&section);
         section.finish();
+        let section_of_record = root.section("record");
+        let record = record(&section_of_record);
+        section_of_record.finish();
         let zones = Rc::new(root.names("zones"));
         let mut sources = Vec::new();
         let mut names = BTreeSet::new();
@@ -156,6 +167,7 @@
             json,
             catalogue,
             sources,
+            record,
             over,
         }
     }
@@ -182,6 +194,7 @@
         let mut note = |name, differs: bool| changed.extend(differs.then_some(name));
         note("log", (self.level, self.json) != (other.level, other.json));
         note("limits", self.over != other.over);
+        note("record", self.record != other.record);
         note("catalogue", self.catalogue != other.catalogue);
         // The catalogue is set up at the start, or not at all.
         note(
@@ -265,6 +278,22 @@
     }
 }
 
+fn record(section: &Section<'_>) -> Option<Recorded> {
+    let base = violetwind_record::Limits::default();
+    let limits = violetwind_record::Limits {
+        file_bytes: section.int("file_bytes", 4096..=1 << 40, base.file_bytes),
+        files: section.int("files", 0..=1000, base.files as u64) as usize,
+        queue: section.int("queue", 1..=1_000_000, base.queue as u64) as usize,
+        pause: base.pause,
+    };
+    let file = match section.is_there() {
+        true => section.need_text("file"),
+        false => return None,
+    };
+    let file = PathBuf::from(file);
+    Some(Recorded { file, limits })
+}
+
 fn source(section: &Section<'_>, zones: &Rc<BTreeMap<String, String>>) -> Source {
     let name = section.need_text("name");
     let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -31,14 +31,15 @@
     let limits = &shared.limits;
     let (to, mut orders) = mpsc::channel(limits.orders);
     let id = admitted.open.id;
-    let booking = Booking::new(admitted.request.id, shared);
+    let booking = Booking::new(&admitted.request, client.arrived, shared);
     match decide(&mut client, &admitted, shared, &booking, to, &mut orders).await {
         Answer::Taken(on, server) => {
+            booking.up();
             relay::relay(client, server, on, orders, booking, limits).await;
         }
         Answer::Refused(wait) => {
             debug!(id, "refused");
-            booking.answered();
+            booking.answered(violetwind_record::Answer::Refused);
             let word = match wait.map(|wait| (wait * 1e3).round() as u64) {
                 Some(ms) if ms > 0 => format!("BUSY {ms}"),
                 _ => "BUSY".to_string(),
@@ -47,7 +48,7 @@
         }
         Answer::Failed => {
             debug!(id, "failed");
-            booking.answered();
+            booking.answered(violetwind_record::Answer::Failed);
             client.answer("ERR", limits).await;
         }
         Answer::Gone => {
--- a/crates/proxy/src/take_in.rs
+++ b/crates/proxy/src/take_in.rs
@@ -16,6 +16,7 @@
 use crate::limits::{Descriptors, Limits};
 use crate::line::{self, First};
 use crate::notes::Notes;
+use crate::recording::Recording;
 use crate::repeats::Repeats;
 use crate::ring::{Ring, skip_block};
 use violetwind_engine::Notice;
@@ -30,6 +31,7 @@
     pub open_ids: OpenIds,
     pub repeats: Repeats,
     pub notes: Rc<RefCell<Notes>>,
+    pub recording: Option<Recording>,
     pub engine: mpsc::Sender<Notice>,
     /// Whether the list has come from discovery.
     ready: watch::Receiver<bool>,
@@ -44,6 +46,7 @@
         (requests, first_lines): (Descriptors, FirstLines),
         engine: mpsc::Sender<Notice>,
         ready: watch::Receiver<bool>,
+        recording: Option<Recording>,
     ) -> Rc<Self> {
         Rc::new(Self {
             config: config.clone(),
@@ -53,6 +56,7 @@
             open_ids: OpenIds::default(),
             repeats: Repeats::new(limits.log_lines, limits.log_span),
             notes: Rc::new(RefCell::new(Notes::new(config.tells_delay))),
+            recording,
             engine,
             ready,
             started: Instant::now(),
--- /dev/null
+++ b/crates/record/src/writer.rs
@@ -0,0 +1,180 @@
+//! Writes records on a thread of its own. Serving only puts them into a bounded queue; when the disk is
+//! slow, full or gone, records are left out, counted and told, and nobody waits.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use tracing::{info, warn};
+
+use crate::{MAGIC, Record, framed};
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// A file is closed at this length and the next begun; so many older ones are kept beside it.
+    pub file_bytes: u64,
+    pub files: usize,
+    /// Records on the way to the file.
+    pub queue: usize,
+    /// After a failure nothing is tried for so long.
+    pub pause: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            file_bytes: 64 << 20,
+            files: 4,
+            queue: 4096,
+            pause: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Where requests are put. Dropping it writes what is queued and ends the thread.
+#[derive(Debug)]
+pub struct Recorder {
+    queue: Option<SyncSender<Record>>,
+    left: Arc<AtomicU64>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Recorder {
+    /// Begins a recording at `path`; older files of that name get `.1`, `.2` and so on.
+    pub fn start(path: &Path, classes: Vec<String>, limits: Limits) -> std::io::Result<Self> {
+        let (queue, records) = sync_channel(limits.queue);
+        let left = Arc::new(AtomicU64::new(0));
+        let writer = Writer {
+            path: path.to_path_buf(),
+            classes,
+            limits,
+            left: left.clone(),
+            file: None,
+            length: 0,
+            paused_until: None,
+        };
+        let thread = thread::Builder::new()
+            .name("record".into())
+            .spawn(move || writer.run(&records))?;
+        Ok(Self {
+            queue: Some(queue),
+            left,
+            thread: Some(thread),
+        })
+    }
+
+    /// Puts a record into the queue; with no room it is left out and counted.
+    pub fn put(&self, record: Record) {
+        let queued = self.queue.as_ref().map(|queue| queue.try_send(record));
+        if !matches!(queued, Some(Ok(()))) {
+            self.left.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for Recorder {
+    fn drop(&mut self) {
+        self.queue = None;
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread is no reason for another.
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Writer {
+    path: PathBuf,
+    classes: Vec<String>,
+    limits: Limits,
+    left: Arc<AtomicU64>,
+    file: Option<File>,
+    length: u64,
+    paused_until: Option<Instant>,
+}
+
+impl Writer {
+    fn run(mut self, records: &Receiver<Record>) {
+        while let Ok(record) = records.recv() {
+            if self
+                .paused_until
+                .is_some_and(|until| Instant::now() < until)
+            {
+                self.left.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            if let Err(error) = self.write(&record) {
+                let left = self.left.fetch_add(1, Ordering::Relaxed) + 1;
+                warn!(path = %self.path.display(), %error, left, "recording pauses");
+                // A file that may end within a record is not gone on with.
+                self.file = None;
+                self.paused_until = Some(Instant::now() + self.limits.pause);
+            }
+        }
+        let left = self.left.load(Ordering::Relaxed);
+        info!(path = %self.path.display(), left, "recording ends");
+    }
+
+    fn write(&mut self, record: &Record) -> std::io::Result<()> {
+        if self.file.is_none() || self.length >= self.limits.file_bytes {
+            self.begin()?;
+        }
+        let left = self.left.swap(0, Ordering::Relaxed);
+        if left > 0
+            && let Err(error) = self.append(&Record::Left(left))
+        {
+            self.left.fetch_add(left, Ordering::Relaxed);
+            return Err(error);
+        }
+        self.append(record)
+    }
+
+    fn append(&mut self, record: &Record) -> std::io::Result<()> {
+        let too_long = || std::io::Error::other("a record that is too long");
+        let frame = framed(record).ok_or_else(too_long)?;
+        let file = self
+            .file
+            .as_mut()
+            .ok_or_else(|| std::io::Error::other("no file"))?;
+        file.write_all(&frame)?;
+        self.length += frame.len() as u64;
+        Ok(())
+    }
+
+    /// Moves older files on by one, the oldest away, and begins a new one.
+    fn begin(&mut self) -> std::io::Result<()> {
+        let numbered = |n: usize| -> PathBuf {
+            let mut name = self.path.clone().into_os_string();
+            name.push(format!(".{n}"));
+            name.into()
+        };
+        for n in (1..self.limits.files).rev() {
+            if numbered(n).exists() {
+                fs::rename(numbered(n), numbered(n + 1))?;
+            }
+        }
+        if self.path.exists() {
+            match self.limits.files {
+                0 => fs::remove_file(&self.path)?,
+                _ => fs::rename(&self.path, numbered(1))?,
+            }
+        }
+        let mut file = OpenOptions::new()
+            .write(true)
+            .create_new(true)
+            .open(&self.path)?;
+        file.write_all(MAGIC)?;
+        self.length = MAGIC.len() as u64;
+        self.file = Some(file);
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+        let start = Record::Start {
+            unix_ms: unix.map_or(0, |since| since.as_millis() as u64),
+            classes: self.classes.clone(),
+        };
+        self.append(&start)
+    }
+}
