--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod experiment;
 pub mod hunt;
 pub mod model;
+pub mod replay;
 pub mod report;
 pub mod scenario;
 pub mod stats;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,6 +9,7 @@
 use violetwind_lab::experiment::{self, FIGURES, Side, figures, play, score, threads};
 use violetwind_lab::hunt::{Quarry, hunt};
 use violetwind_lab::model::{Outcome, PolicyKind};
+use violetwind_lab::replay::Recording;
 use violetwind_lab::report::{self, Played};
 use violetwind_lab::scenario::Scenario;
 use violetwind_lab::stats::Estimate;
@@ -25,6 +26,7 @@
   violetwind-lab run crates/lab/scenarios/campaign.toml --policy two-choices --seeds 5 --json
   violetwind-lab compare crates/lab/scenarios/small-day.toml --policy-a no-moves --policy-b module
   violetwind-lab compare crates/lab/scenarios/small-day.toml --set-b demand.fill=0.8
+  violetwind-lab run crates/lab/scenarios/small-day.toml --replay requests --replay-times 2
   violetwind-lab hunt crates/lab/scenarios/small-day.toml --seeds 7 --most 500
   violetwind-lab sweep crates/lab/scenarios/small-day.toml demand.fill 0.5 0.7 0.9"
 )]
@@ -101,6 +103,15 @@
     threads: Option<usize>,
     #[arg(long)]
     json: bool,
+    /// Play the clients of a recording instead of made-up ones.
+    #[arg(long, value_name = "FILE")]
+    replay: Option<PathBuf>,
+    /// So many times the recorded clients.
+    #[arg(long, default_value_t = 1.0)]
+    replay_times: f64,
+    /// So many times as fast.
+    #[arg(long, default_value_t = 1.0)]
+    replay_rate: f64,
 }
 
 fn policy(text: &str) -> Result<PolicyKind, String> {
@@ -113,7 +124,45 @@
 
 impl Common {
     fn read(&self, more: &[String]) -> Result<Scenario, ExitCode> {
-        load(&self.scenario, &[&self.set[..], more].concat())
+        let scenario = load(&self.scenario, &[&self.set[..], more].concat())?;
+        self.replayed(scenario)
+    }
+
+    /// The scenario with the clients of the recording, if one is named.
+    fn replayed(&self, mut scenario: Scenario) -> Result<Scenario, ExitCode> {
+        let Some(path) = &self.replay else {
+            return Ok(scenario);
+        };
+        let sound = |times: f64| times.is_finite() && times > 0.0 && times <= 1000.0;
+        if !sound(self.replay_times) || !sound(self.replay_rate) {
+            eprintln!("--replay-times and --replay-rate: expected a number above 0, up to 1000");
+            return Err(ExitCode::FAILURE);
+        }
+        let name = path.display();
+        let file = std::fs::File::open(path).map_err(|error| {
+            eprintln!("{name}: {error}");
+            ExitCode::FAILURE
+        })?;
+        let recording = Recording::read(std::io::BufReader::new(file), &scenario);
+        eprintln!(
+            "{name}: {} clients, {} repeats of refused ones, {} left out when recorded, end: {:?}",
+            recording.clients.len(),
+            recording.repeats,
+            recording.left,
+            recording.end
+        );
+        for (class, requests) in &recording.unknown {
+            eprintln!(
+                "{name}: the scenario has no class `{class}`: {requests} requests passed over"
+            );
+        }
+        if recording.clients.is_empty() {
+            eprintln!("{name}: nothing to play");
+            return Err(ExitCode::FAILURE);
+        }
+        let clients = recording.scaled(self.replay_times, self.replay_rate, 1);
+        scenario.replayed = Some(std::sync::Arc::new(clients));
+        Ok(scenario)
     }
 
     fn seeds(&self) -> Vec<u64> {
@@ -164,7 +213,7 @@
             };
             let second = b.as_ref().unwrap_or(&common.scenario);
             let b = Side {
-                scenario: load(second, &[&common.set[..], &set_b].concat())?,
+                scenario: common.replayed(load(second, &[&common.set[..], &set_b].concat())?)?,
                 policy: policy_b,
             };
             compare(&a, &b, precision, &common);
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -12,6 +12,7 @@
 use super::policy::{Policy, PolicyKind, Truth};
 use super::rules::{Breach, Rules};
 use super::server::{Life, Server};
+use crate::replay::Recorded;
 use crate::scenario::{Kind, Scenario, Trouble};
 
 /// A probe that is not answered is given up after this, and a server that brings nothing back is silent
@@ -286,6 +287,34 @@
         for proxy in 0..self.proxies.len() {
             self.start_proxy(proxy);
         }
+        match self.set.replayed.clone() {
+            Some(replayed) => self.replay(&replayed),
+            None => self.make_up(),
+        }
+        self.after(0.0, Step::Look);
+        for (n, trouble) in self.set.troubles.iter().enumerate() {
+            self.at(trouble.at, Step::Begins(n));
+            self.at(trouble.at + trouble.lasts, Step::Ends(n));
+        }
+    }
+
+    /// Clients as they were recorded; what the recording does not know is drawn as for made-up ones.
+    fn replay(&mut self, replayed: &[Recorded]) {
+        for recorded in replayed.iter().filter(|r| r.at < self.set.seconds) {
+            let n = self.new_client(recorded.at);
+            let client = &mut self.clients[n];
+            client.class = recorded.class;
+            client.tenant = recorded.tenant.filter(|t| *t < self.set.demand.tenants);
+            client.group = recorded.group.filter(|_| self.set.demand.groups > 0);
+            client.load = recorded.load.unwrap_or(client.load);
+            if let Some(hold) = recorded.hold {
+                client.until = recorded.at + hold.max(0.1);
+            }
+            self.at(recorded.at, Step::Come(n));
+        }
+    }
+
+    fn make_up(&mut self) {
         // Those who would be there already come one after the other.
         let shares: f64 = self.set.classes.iter().map(|class| class.share).sum();
         let hold = self.set.classes.iter().map(|c| c.share / shares * c.hold);
@@ -297,11 +326,6 @@
             self.at(at, Step::Come(client));
         }
         self.next_arrival();
-        self.after(0.0, Step::Look);
-        for (n, trouble) in self.set.troubles.iter().enumerate() {
-            self.at(trouble.at, Step::Begins(n));
-            self.at(trouble.at + trouble.lasts, Step::Ends(n));
-        }
     }
 
     fn start_proxy(&mut self, proxy: usize) {
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -1,10 +1,13 @@
 //! What is played, from a TOML file that is checked like the operator's: every error at once.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use violetwind_balancer::api::Effect;
 use violetwind_conf::{Problem, Problems, Section, Tree};
 
+use crate::replay::Recorded;
+
 /// The most memory that a run may take, as far as it can be told beforehand.
 pub const MOST_BYTES: u64 = 4 << 30;
 
@@ -23,6 +26,8 @@
     pub lists: Lists,
     pub network: Network,
     pub troubles: Vec<Trouble>,
+    /// Recorded clients instead of made-up ones.
+    pub replayed: Option<Arc<Vec<Recorded>>>,
 }
 
 #[derive(Clone, Debug)]
@@ -233,6 +238,7 @@
             },
             classes: root.sections("class").iter().map(class).collect(),
             troubles: root.sections("trouble").iter().map(trouble).collect(),
+            replayed: None,
         };
         for section in [&fleet, &server, &demand, &lists, &network] {
             section.finish();
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -3,8 +3,10 @@
 use violetwind_lab::experiment::{Side, compare, play, score};
 use violetwind_lab::hunt::{Quarry, hunt};
 use violetwind_lab::model::{PolicyKind, Rule, run};
+use violetwind_lab::replay::Recording;
 use violetwind_lab::report::{self, Played};
 use violetwind_lab::scenario::{Kind, Scenario};
+use violetwind_record::{Answer, End, Limits, Record, Recorder, Request};
 
 const SMALL: &str = include_str!("../scenarios/small-day.toml");
 const CAMPAIGN: &str = include_str!("../scenarios/campaign.toml");
@@ -199,3 +201,62 @@
     let told = outcomes[0].iter().map(|o| o.moves as f64).sum::<f64>() / 2.0;
     assert!((moves - told).abs() < 0.1, "{moves} {told}");
 }
+
+/// A recording cut in the middle is played up to the cut, in the model, scaled, and said to be cut.
+#[test]
+fn a_recording_cut_in_the_middle_is_replayed_up_to_the_cut() {
+    let path = std::env::temp_dir().join(format!("violetwind-lab-{}", std::process::id()));
+    let classes = ["watch", "book", "elsewhere"].map(String::from).to_vec();
+    let recorder = Recorder::start(&path, classes, Limits::default()).unwrap();
+    for n in 0..2000_u64 {
+        recorder.put(Record::Request(Request {
+            // Written in the order of their ends.
+            at_us: (1999 - n) * 20_000,
+            class: (n % 3) as u16,
+            tenant: None,
+            group: Some(n),
+            patience_ms: 2000,
+            answer: if n % 10 == 0 {
+                Answer::Refused
+            } else {
+                Answer::Up
+            },
+            took_us: 1000,
+            held_ms: 8000,
+            load: Some(20_000),
+        }));
+    }
+    drop(recorder);
+    let bytes = std::fs::read(&path).unwrap();
+    std::fs::remove_file(&path).unwrap();
+    let scenario = read(SMALL);
+    let whole = Recording::read(&bytes[..], &scenario);
+    assert_eq!(whole.end, End::Whole);
+    assert_eq!(whole.unknown["elsewhere"], 666);
+    assert_eq!(whole.clients.len(), 2000 - 666);
+    assert!(whole.clients.is_sorted_by(|a, b| a.at <= b.at));
+    let half = Recording::read(&bytes[..bytes.len() / 2], &scenario);
+    assert_eq!(half.end, End::Cut(bytes.len() as u64 / 2));
+    assert!((300..1000).contains(&half.clients.len()));
+    assert!(
+        half.clients
+            .iter()
+            .all(|c| whole.clients.iter().any(|w| w.load == c.load))
+    );
+    let twice = whole.scaled(2.5, 1.0, 1).len();
+    assert!((3100..3600).contains(&twice), "{twice}");
+    let play = |recording: &Recording, times: f64| {
+        let mut scenario = scenario.clone();
+        scenario.troubles.clear();
+        scenario.replayed = Some(recording.scaled(times, 1.0, 1).into());
+        run(&scenario, PolicyKind::Module, 1)
+    };
+    let (one, two) = (play(&half, 1.0), play(&half, 2.0));
+    assert_eq!(one.clients, half.clients.len() as u64);
+    assert_eq!(two.clients, 2 * one.clients);
+    assert!(
+        one.breaches.is_empty() && one.service > 0.9,
+        "{}",
+        one.service
+    );
+}
