A loopback fleet: real proxies, a lying Consul, servers and clients with books

Need: the README had no command by which a newcomer sees the program work, and the model nothing to be held against. Change: violetwind-lab fleet, and violetwind-lab alone, start proxies, the stand-in Consul, servers that serve by themselves and clients that count what they see; half of the checks fail, a server drains, another dies.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`stats`] says how sure a difference is, [`experiment`] runs seeds side by side.
 
 pub mod experiment;
+pub mod fleet;
 pub mod hunt;
 pub mod model;
 pub mod replay;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 use clap::{Args, Parser, Subcommand};
 use serde_json::json;
 use violetwind_lab::experiment::{self, FIGURES, Side, figures, play, score, threads};
+use violetwind_lab::fleet;
 use violetwind_lab::hunt::{Quarry, hunt};
 use violetwind_lab::model::{Outcome, PolicyKind};
 use violetwind_lab::replay::Recording;
@@ -21,6 +22,7 @@
     version,
     after_help = "\
 Examples:
+  violetwind-lab fleet --clients 300
   violetwind-lab run crates/lab/scenarios/small-day.toml
   violetwind-lab run crates/lab/scenarios/campaign.toml --report campaign.html
   violetwind-lab run crates/lab/scenarios/campaign.toml --policy two-choices --seeds 5 --json
@@ -31,8 +33,9 @@
   violetwind-lab sweep crates/lab/scenarios/small-day.toml demand.fill 0.5 0.7 0.9"
 )]
 struct Cli {
+    /// Without one, a small day of 30 s on loopback.
     #[command(subcommand)]
-    command: Command,
+    command: Option<Command>,
 }
 
 #[derive(Debug, Subcommand)]
@@ -47,6 +50,21 @@
         #[arg(long, value_name = "FILE")]
         report: Option<PathBuf>,
     },
+    /// A fleet on loopback: real proxies, a stand-in Consul, servers and clients; half of the checks fail,
+    /// a server drains, another dies. Exit 1 where a client saw no final answer, or two.
+    Fleet {
+        /// The proxy's program; by default the one beside this.
+        #[arg(long, value_name = "FILE")]
+        proxy: Option<PathBuf>,
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=20))]
+        proxies: u16,
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(3..=100))]
+        servers: u16,
+        #[arg(long, default_value_t = 120, value_parser = clap::value_parser!(u16).range(1..=1000))]
+        clients: u16,
+        #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u16).range(5..=3600))]
+        seconds: u16,
+    },
     /// Two settings, scenarios or policies on the same seeds: the paired difference and its interval.
     Compare {
         #[command(flatten)]
@@ -89,6 +107,18 @@
     },
 }
 
+impl Command {
+    fn small_day() -> Self {
+        Self::Fleet {
+            proxy: None,
+            proxies: 3,
+            servers: 6,
+            clients: 120,
+            seconds: 30,
+        }
+    }
+}
+
 #[derive(Debug, Args)]
 struct Common {
     scenario: PathBuf,
@@ -183,7 +213,7 @@
 }
 
 fn main() -> ExitCode {
-    match carry_out(Cli::parse().command) {
+    match carry_out(Cli::parse().command.unwrap_or_else(Command::small_day)) {
         Ok(code) | Err(code) => code,
     }
 }
@@ -219,6 +249,32 @@
             compare(&a, &b, precision, &common);
             Ok(ExitCode::SUCCESS)
         }
+        Command::Fleet {
+            proxy,
+            proxies,
+            servers,
+            clients,
+            seconds,
+        } => {
+            let beside = std::env::current_exe().map(|path| path.with_file_name("violetwind"));
+            let plan = fleet::Plan {
+                proxy: proxy.or(beside.ok()).unwrap_or_else(|| "violetwind".into()),
+                proxies: proxies.into(),
+                servers: servers.into(),
+                clients: clients.into(),
+                seconds: seconds.into(),
+                live: true,
+            };
+            let report = fleet::run(&plan).map_err(|error| {
+                eprintln!("{error}");
+                ExitCode::FAILURE
+            })?;
+            println!("{report:#?}");
+            Ok(match report.sound() {
+                true => ExitCode::SUCCESS,
+                false => ExitCode::FAILURE,
+            })
+        }
         Command::Hunt {
             common,
             policy,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 mod registry;
 mod server;
 mod vanished;
+pub mod worker;
 
 pub use peer::{End, Peer};
 pub use registry::{Discovery, Mood};
