--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -784,6 +784,16 @@
         self.after(took + 0.5 * trip, Step::Done(id, attempt, server, process));
     }
 
+    /// An attempt is out no longer, if it still was: its client, its proxy, and when it was asked for.
+    fn take_out(&mut self, id: RequestId, attempt: u32) -> Option<(usize, usize, f64)> {
+        let asked = self.asked.get_mut(&id)?;
+        if asked.attempt != attempt {
+            return None;
+        }
+        asked.out.take()?;
+        Some((asked.client, asked.proxy, asked.at))
+    }
+
     /// A set-up is done: the effect is there, wanted or not.
     fn done(&mut self, id: RequestId, attempt: u32, server: ServerId, process: u32) {
         let place = &mut self.servers[server as usize];
@@ -792,17 +802,9 @@
         }
         place.setups -= 1;
         self.rules.ran(self.now, id);
-        let Some(asked) = self
-            .asked
-            .get_mut(&id)
-            .filter(|asked| asked.attempt == attempt)
-        else {
+        let Some((n, proxy, at)) = self.take_out(id, attempt) else {
             return;
         };
-        if asked.out.take().is_none() {
-            return;
-        }
-        let (n, proxy, at) = (asked.client, asked.proxy, asked.at);
         self.rules.answered(self.now, id);
         let micros = ((self.now - at) * 1e6) as u64;
         self.setups.saturating_record(micros.max(1));
@@ -820,17 +822,9 @@
 
     /// An attempt ended in some other way.
     fn ended(&mut self, id: RequestId, attempt: u32, server: ServerId, outcome: Ending) {
-        let Some(asked) = self
-            .asked
-            .get_mut(&id)
-            .filter(|asked| asked.attempt == attempt)
-        else {
+        let Some((_, proxy, _)) = self.take_out(id, attempt) else {
             return;
         };
-        if asked.out.take().is_none() {
-            return;
-        }
-        let proxy = asked.proxy;
         let ended = Ended {
             id,
             server,
