--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -46,7 +46,7 @@
         common: Common,
         #[arg(long, default_value = "module", value_parser = policy)]
         policy: PolicyKind,
-        /// Write one HTML file with plots, and the series as FILE.csv beside it.
+        /// Write one HTML file with plots, and beside it the series as CSV and the figures as JSON.
         #[arg(long, value_name = "FILE")]
         report: Option<PathBuf>,
     },
@@ -368,23 +368,7 @@
     let breaches: usize = own.iter().map(|outcome| outcome.breach_count).sum();
     let plain = |side: usize, figure| estimate(&outcomes[side], figure).mean;
     if common.json {
-        let figures: serde_json::Map<String, serde_json::Value> = FIGURES
-            .iter()
-            .enumerate()
-            .map(|(n, name)| {
-                let estimate = estimate(own, n);
-                let score = score(estimate.mean, plain(1, n), plain(2, n));
-                let value = json!({"mean": estimate.mean, "half": estimate.half, "score": score});
-                ((*name).to_string(), value)
-            })
-            .collect();
-        let value = json!({
-            "scenario": scenario.name, "policy": policy.name(), "seeds": own.len(),
-            "figures": figures, "breaches": breaches,
-            "moves": mean(own, |o| o.moves as f64), "refused": mean(own, |o| o.refused as f64),
-            "requests": mean(own, |o| o.requests as f64), "spread": mean(own, |o| o.spread),
-        });
-        println!("{value:#}");
+        println!("{:#}", summary(scenario, policy, &outcomes));
     } else {
         println!(
             "{}: {} proxies, {} servers, {:.0} s, {} seeds, three policies in {took:.1} s",
@@ -440,6 +424,34 @@
     }
 }
 
+/// The figures of a run as JSON.
+fn summary(
+    scenario: &Scenario,
+    policy: PolicyKind,
+    outcomes: &[Vec<Outcome>],
+) -> serde_json::Value {
+    let own = &outcomes[0];
+    let plain = |side: usize, figure| estimate(&outcomes[side], figure).mean;
+    let figures: serde_json::Map<String, serde_json::Value> = FIGURES
+        .iter()
+        .enumerate()
+        .map(|(n, name)| {
+            let estimate = estimate(own, n);
+            let score = score(estimate.mean, plain(1, n), plain(2, n));
+            let value = json!({"mean": estimate.mean, "half": estimate.half, "score": score});
+            ((*name).to_string(), value)
+        })
+        .collect();
+    let breaches: usize = own.iter().map(|outcome| outcome.breach_count).sum();
+    json!({
+        "scenario": scenario.name, "policy": policy.name(), "seeds": own.len(),
+        "figures": figures, "breaches": breaches,
+        "moves": mean(own, |o| o.moves as f64), "refused": mean(own, |o| o.refused as f64),
+        "requests": mean(own, |o| o.requests as f64), "spread": mean(own, |o| o.spread),
+        "setup_ms": {"p50": mean(own, |o| o.setup_ms[0]), "p99": mean(own, |o| o.setup_ms[1])},
+    })
+}
+
 fn write_report(
     path: &Path,
     scenario: &Scenario,
@@ -452,10 +464,10 @@
         .map(|(name, outcomes)| Played { name, outcomes })
         .collect();
     std::fs::write(path, report::html(scenario, &played)?)?;
-    std::fs::write(
-        path.with_extension("csv"),
-        report::csv(scenario, &outcomes[0]),
-    )?;
+    let csv = report::csv(scenario, &outcomes[0]);
+    std::fs::write(path.with_extension("csv"), csv)?;
+    let summary = format!("{:#}\n", summary(scenario, policy, outcomes));
+    std::fs::write(path.with_extension("json"), summary)?;
     Ok(())
 }
 
