A stalled disk no longer holds up the end of a proxy that records

Change: the thread has Limits::farewell (0.2 s) to write what is queued, then it is left and the log says so.

--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -285,6 +285,7 @@
         files: section.int("files", 0..=1000, base.files as u64) as usize,
         queue: section.int("queue", 1..=1_000_000, base.queue as u64) as usize,
         pause: base.pause,
+        farewell: base.farewell,
     };
     let file = match section.is_there() {
         true => section.need_text("file"),
--- a/crates/record/src/writer.rs
+++ b/crates/record/src/writer.rs
@@ -6,8 +6,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread::{self, JoinHandle};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tracing::{info, warn};
@@ -23,6 +23,8 @@
     pub queue: usize,
     /// After a failure nothing is tried for so long.
     pub pause: Duration,
+    /// At the end the disk has so long to take what is queued; a stalled one must not hold up an exit.
+    pub farewell: Duration,
 }
 
 impl Default for Limits {
@@ -32,16 +34,19 @@
             files: 4,
             queue: 4096,
             pause: Duration::from_secs(5),
+            farewell: Duration::from_millis(200),
         }
     }
 }
 
-/// Where requests are put. Dropping it writes what is queued and ends the thread.
+/// Where requests are put. Dropping it gives the thread a bounded time to write what is queued.
 #[derive(Debug)]
 pub struct Recorder {
     queue: Option<SyncSender<Record>>,
     left: Arc<AtomicU64>,
-    thread: Option<JoinHandle<()>>,
+    /// Hangs up when the thread ends.
+    ended: Receiver<()>,
+    farewell: Duration,
 }
 
 impl Recorder {
@@ -49,6 +54,8 @@
     pub fn start(path: &Path, classes: Vec<String>, limits: Limits) -> std::io::Result<Self> {
         let (queue, records) = sync_channel(limits.queue);
         let left = Arc::new(AtomicU64::new(0));
+        let (end, ended) = sync_channel(0);
+        let farewell = limits.farewell;
         let writer = Writer {
             path: path.to_path_buf(),
             classes,
@@ -58,13 +65,17 @@
             length: 0,
             paused_until: None,
         };
-        let thread = thread::Builder::new()
+        thread::Builder::new()
             .name("record".into())
-            .spawn(move || writer.run(&records))?;
+            .spawn(move || {
+                writer.run(&records);
+                drop::<SyncSender<()>>(end);
+            })?;
         Ok(Self {
             queue: Some(queue),
             left,
-            thread: Some(thread),
+            ended,
+            farewell,
         })
     }
 
@@ -80,9 +91,8 @@
 impl Drop for Recorder {
     fn drop(&mut self) {
         self.queue = None;
-        if let Some(thread) = self.thread.take() {
-            // A panic of the thread is no reason for another.
-            let _ = thread.join();
+        if let Err(RecvTimeoutError::Timeout) = self.ended.recv_timeout(self.farewell) {
+            warn!("recording: the disk did not take all that was queued in time");
         }
     }
 }
@@ -178,3 +188,23 @@
         self.append(&start)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A disk that stalls for good: the thread never ends. The program's exit used to wait for it.
+    #[test]
+    fn a_stalled_disk_does_not_hold_up_the_end() {
+        let (queue, _records) = sync_channel(1);
+        let (_never, ended) = sync_channel(0);
+        let recorder = Recorder {
+            queue: Some(queue),
+            left: Arc::default(),
+            ended,
+            farewell: Duration::from_millis(20),
+        };
+        recorder.put(Record::Left(1));
+        drop(recorder);
+    }
+}
