What probing may cost counts by first tries alone, not by what clients ask for again

`probe_interval` works out what is affordable from `State::rate`, which counts each of a client's tries; at 3 to 6 tries a request it allowed 3 to 6 times the hundredth that it says, and every server was probed. Ruled out: steady probes of servers in use (2 to 3 a proxy, each 5 s: a quarter of it), and the lists.

Change: the platform marks retries (`r=1`) and clients that were cut off or moved (`again=1`); `Request::again` tells the module, and only first tries buy probes. Where nothing is marked all count, as before.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -129,6 +129,9 @@
     pub hint: Option<f64>,
     /// Time until the client stops waiting.
     pub patience: Secs,
+    /// The client asked for this before, and was refused, failed, cut off or moved; false where clients
+    /// don't mark it.
+    pub again: bool,
 }
 
 /// A server's own word on its load; each value is absent where the site does not report it.
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -187,7 +187,7 @@
 
     /// The time between two probes of a server for which `probed` of them cost what they may.
     fn probe_interval(&self, probed: usize) -> Secs {
-        let affordable = (self.state.rate() * PROBE_BUDGET).max(f64::MIN_POSITIVE);
+        let affordable = (self.state.new_rate() * PROBE_BUDGET).max(f64::MIN_POSITIVE);
         (self.set.price_probe * probed as f64 / affordable).max(PROBE_EVERY)
     }
 
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -154,8 +154,9 @@
     pub mean_figure: f64,
     /// The number of servers that are probed.
     pub probing: usize,
-    /// Requests lately, and when the first one came.
+    /// Requests lately, those that clients make for the first time, and when the first one came.
     requests: Fading,
+    new_requests: Fading,
     first_request: Option<Secs>,
     /// The same, if nothing was held then.
     began_empty: Option<Secs>,
@@ -182,6 +183,7 @@
             mean_figure: 0.0,
             probing: 0,
             requests: Fading::default(),
+            new_requests: Fading::default(),
             first_request: None,
             began_empty: None,
             classes: vec![0; set.classes.len()],
@@ -284,6 +286,9 @@
             self.began_empty = (self.joined() == 0).then_some(self.now);
         }
         self.requests.add(self.now, MEMORY, 1.0);
+        if !request.again {
+            self.new_requests.add(self.now, MEMORY, 1.0);
+        }
         self.adopt(request)
     }
 
@@ -313,10 +318,18 @@
 
     /// Own requests a second.
     pub fn rate(&self) -> f64 {
+        self.requests.get(self.now, MEMORY) / self.span()
+    }
+
+    /// The same without what clients ask for again.
+    pub fn new_rate(&self) -> f64 {
+        self.new_requests.get(self.now, MEMORY) / self.span()
+    }
+
+    fn span(&self) -> Secs {
         let heard_for = self.now - self.first_request.unwrap_or(self.now);
         // What has not come for long yet can't have faded; the first second tells little.
-        let span = MEMORY * (1.0 - (-heard_for.max(1.0) / MEMORY).exp());
-        self.requests.get(self.now, MEMORY) / span
+        MEMORY * (1.0 - (-heard_for.max(1.0) / MEMORY).exp())
     }
 
     /// Whether sizes were last learned so long ago; then they are now.
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -66,6 +66,7 @@
         group: None,
         hint: Some(0.1),
         patience: 2.0,
+        again: false,
     }
 }
 
--- a/crates/balancer/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -90,6 +90,24 @@
     assert_eq!(probes(&actions), SERVERS as usize);
 }
 
+/// What probes may cost is a part of what comes for the first time. Clients that are turned away and
+/// come again at once, six times each, had every server probed and the probes cost six times their share.
+#[test]
+fn what_clients_ask_for_again_buys_no_probes() {
+    let mut bench = Bench::new(large(), fleet(), 3);
+    for id in 0..600 {
+        bench.now += 0.01;
+        let again = id % 100 > 0;
+        bench.on(Event::Request(Request {
+            again,
+            ..request(id)
+        }));
+    }
+    let grown = (SERVERS + 1..=2 * SERVERS).map(entry).collect();
+    let actions = bench.on(Event::Servers(ListKind::Update, grown));
+    assert_eq!(probes(&actions), 0);
+}
+
 /// Balancers that never used a server took it for a usual one: all sent their first connection of a
 /// group to the same full server.
 #[test]
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -240,6 +240,7 @@
             group: None,
             hint: None,
             patience: 2.0,
+            again: false,
         };
         self.take(Notice::Request(request, to));
     }
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -484,6 +484,7 @@
             group: client.group,
             hint: None,
             patience,
+            again: tries > 0,
         };
         let asked = Asked {
             client: n,
--- a/crates/proxy/src/admit.rs
+++ b/crates/proxy/src/admit.rs
@@ -120,6 +120,9 @@
         group: open.get("g").map(group_id),
         hint,
         patience,
+        again: ["r", "again"]
+            .iter()
+            .any(|name| open.get(name) == Some("1")),
     };
     Ok((request, id))
 }
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -142,6 +142,7 @@
         group: fields.get("channel").map(group_id),
         hint: fields.number("estimate-s")?,
         patience: fields.secs("patience-left-s")?,
+        again: fields.flag("retry")? || fields.flag("again")?,
     })
 }
 
