A storm's room is filled once, turns follow the warm-up, and refusals load no server

For refusals the ranking was printed: (1) `open` barred servers that had long been warm, as their first turn, random over fleet / budget = 46 s and more, still lay ahead; (2) `crowd` took peers to place as often as a proxy is asked, refused requests included, so one own connection added 0.4 to 1.7 to a figure; (3) the mean figure held one server at 2.7 as several full ones, and each further share of a group was asked room for, though in a zone of 33 proxies a peer has most often brought the group. Where room did appear it was found by all at once: 38 connections in a second on two servers by the same late figure, both past 1.0 for 4 s and more; 40 on one that had just become warm. Ruled out: late lists (all proxies hear within 0.1 s since the calls to discovery are spread), throttling (failures 0), descriptors (53 of 384).

Peers count by placements. Where more is asked than a server has room for before reports show it, a request takes that room by its part. Figures count as 1 at most in how short room is; room for shares is asked by one in as many as place in a zone.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -52,6 +52,8 @@
 const PLAUSIBLE: f64 = 10.0;
 /// By this a cold server is taken to be smaller than guessed, as far as its size is only guessed.
 const GUESS_CARE: f64 = 3.0;
+/// A turn at a cold server is kept for so many times the span that the fall budget is for.
+const TURN_KEPT: f64 = 1.5;
 /// Time constant of the judgement on failures, of a server and of the service as a whole.
 const FORGIVE: Secs = 5.0;
 /// Attempts per success beyond which the service as a whole is taken to be failing.
@@ -104,7 +106,7 @@
         match event {
             Event::Servers(kind, entries) => self.on_list(kind, entries, out),
             Event::Request(request) => {
-                let id = self.state.on_request(request);
+                let id = self.state.on_request(request, self.rng.random());
                 self.place(id, out);
             }
             Event::Open(request, server) => {
@@ -167,9 +169,13 @@
             server.entry = Some(entry);
             if fresh {
                 // Proxies hear of a cold server together: their first connections are spread out.
-                let gap = self.cold_gap(&self.state.servers[&id]);
-                let turn = self.state.now + gap * self.rng.random_range(0.0..1.0);
-                self.state.server(id, |server| server.cold_until = turn);
+                let (now, turn) = (
+                    self.state.now,
+                    self.rng.random_range(0.0..self.set.fleet_size as f64),
+                );
+                self.state.server(id, |server| {
+                    (server.listed_at, server.turn, server.cold_until) = (now, turn, now);
+                });
             }
             self.start_probing(id, out);
         }
@@ -352,13 +358,16 @@
             }
             return self.wait(id, Some(to), out);
         }
-        let gap = self.cold_gap(server);
+        let (turn, gap) = (
+            self.turns(server, now) + self.set.fleet_size as f64,
+            self.set.fall_for / 4.0,
+        );
         let conn = &self.state.conns[&id];
         let load = conn.load + self.group_load(conn, server);
         self.state.join(id, to, Phase::Out(to));
         self.state.server(to, |server| {
             server.pend(now, load);
-            server.cold_until = now + gap;
+            (server.turn, server.cold_until) = (turn, now + gap);
         });
         self.start_probing(to, out);
         out.push(Action::Send(id, to, left.min(aim.max(left / 2.0))));
@@ -453,7 +462,7 @@
         let mut candidates = self.state.first_of(key, CANDIDATES);
         let sound = candidates.any(|(_, id)| self.open(server(&id)) && !self.ejected(server(&id)));
         // Room before rank, or a group's full server hides an idle one; short room bars further shares.
-        let mut ranked: Vec<(f64, ServerId)> = Vec::new();
+        let mut ranked: Vec<(f64, ServerId, f64)> = Vec::new();
         for (place, id) in self.state.first_of(key, CANDIDATES) {
             let server = server(&id);
             let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
@@ -466,18 +475,41 @@
             // Room on an unknown server is asked, not guessed, unless all are likely to be swamped.
             let guessed = server.figure_since(now - FORGOTTEN).is_none();
             let asked = guessed && may_ask && (scarcity < 0.5 || self.state.heard < ASKS);
-            if asked || after + shun * scarcity <= limit {
-                ranked.push((after + shun + self.surcharge(server), id));
+            if asked || after + shun * scarcity / self.sharers() <= limit {
+                let one = self.state.unit_of(server) * self.state.mean_load();
+                let room = if guessed && may_ask {
+                    f64::INFINITY
+                } else {
+                    1.0 + (limit - after) / one
+                };
+                ranked.push((after + shun + self.surcharge(server), id, room));
             }
         }
+        // In a storm peers find the same room at the same time: all together should fill it, not each.
+        let each = self.competing() / ranked.len().max(1) as f64;
+        let luck = conn.luck;
+        ranked.retain(|r| luck * each <= r.2);
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
         ranked.retain(|r| r.0 <= best);
         let pick = self.rng.random_range(0..ranked.len().max(1));
         ranked.get(pick).map(|r| r.1)
     }
 
+    /// How many requests peers are taken to place before reports show it, if they are asked as often.
+    fn competing(&self) -> f64 {
+        self.state.storm() * (self.set.fleet_size as f64 - 1.0) * REPORT_AGE
+    }
+
     fn open(&self, server: &Server) -> bool {
-        server.up() && self.state.now >= server.cold_until
+        // A turn that lies beyond the warm-up falls away with it: in a large fleet most do.
+        let (now, fleet) = (self.state.now, self.set.fleet_size as f64);
+        if !server.up() || server.cold_rest(now, &self.set) == 0.0 {
+            return server.up();
+        }
+        // One that was not used for long is missed, or all together would be a blow.
+        let missed = self.turns(server, now - TURN_KEPT * self.set.fall_for) - server.turn;
+        let turn = server.turn + fleet * (missed / fleet).ceil().max(0.0);
+        now >= server.cold_until && self.turns(server, now) >= turn
     }
 
     fn ejected(&self, server: &Server) -> bool {
@@ -505,7 +537,7 @@
     fn crowd(&self) -> f64 {
         let fleet = self.set.fleet_size as f64;
         let peers = self.sharers() + (fleet - self.sharers()) * self.scarcity();
-        let given = fleet * self.state.rate() * REPORT_AGE;
+        let given = fleet * self.state.placing_rate() * REPORT_AGE;
         peers.min(1.0 + given / self.state.servers.len().max(1) as f64)
     }
 
@@ -529,17 +561,12 @@
             + server.errors.get(self.state.now, FORGIVE)
     }
 
-    /// The least time between two connections to a cold server, from what warm ones take.
-    fn cold_gap(&self, server: &Server) -> Secs {
-        let rest = server.cold_rest(self.state.now, &self.set);
-        if rest == 0.0 {
-            return 0.0;
-        }
-        let share = 1.0 - (1.0 - self.set.cold_from) * rest;
-        // This balancer's part of the fall budget, as if a warm server fills over the warm-up.
+    /// How many connections all balancers together may have given a cold server since it was listed: what
+    /// it can do grows as it warms up, and so does what they give it. Each has its turn among them.
+    fn turns(&self, server: &Server, at: Secs) -> f64 {
+        // The fall budget, as if a warm server fills over the warm-up.
         let full = 1.0 / (self.state.careful_unit_of(server) * self.state.mean_load()).max(1e-3);
-        let budget = self.set.fall_multiple * share * full / self.set.cold_for;
-        (self.set.fleet_size as f64 / budget).max(self.set.fall_for / 4.0)
+        self.set.fall_multiple * full / self.set.cold_for * server.warmed(at, &self.set)
     }
 
     // Moves.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -23,6 +23,12 @@
     pub relative_size: f64,
 }
 
+/// Time constant of the rate of requests that counts in a storm.
+const STORM: Secs = 4.0;
+
+/// So many requests of them are no storm: the one that is placed.
+const CHANCE: f64 = 1.0;
+
 /// How long a balancer has only guesses of how much servers hold.
 const YOUNG: Secs = 4.0;
 
@@ -50,8 +56,11 @@
     /// It answered neither a probe nor a connect since it last did.
     pub suspect: bool,
     pub errors: Fading,
-    /// When a cold server may get its next connection.
+    /// A cold server may get its next connection not before this, and after so many of all balancers.
     pub cold_until: Secs,
+    pub turn: f64,
+    /// When its present process was first told of.
+    pub listed_at: Secs,
     pub probing: bool,
     /// When a probe was last answered, and last sent for a request; whether one of a round is out.
     pub heard_at: Option<Secs>,
@@ -103,6 +112,14 @@
         rest.clamp(0.0, 1.0)
     }
 
+    /// The time from when it was listed, counted by the part of its capacity that it had.
+    pub fn warmed(&self, now: Secs, set: &Settings) -> Secs {
+        let now = now.max(self.listed_at);
+        let lacked =
+            |at| (1.0 - set.cold_from) * set.cold_for / 2.0 * self.cold_rest(at, set).powi(2);
+        now - self.listed_at + lacked(now) - lacked(self.listed_at)
+    }
+
     /// Whether it is known to be in another zone than this.
     pub fn elsewhere(&self, zone: Option<usize>) -> bool {
         let own = self.entry.as_ref().and_then(|entry| entry.zone);
@@ -134,6 +151,8 @@
     pub may_have_run: Option<(ServerId, Secs)>,
     /// Its load in seconds of work a second: as last told, or else as usual for its class.
     pub load: f64,
+    /// What part of those that come with it go before it where not all can, from 0 to 1.
+    pub luck: f64,
     pub told: bool,
 }
 
@@ -154,9 +173,11 @@
     pub mean_figure: f64,
     /// The number of servers that are probed.
     pub probing: usize,
-    /// Requests lately, those that clients make for the first time, and when the first one came.
-    requests: Fading,
+    /// Requests that clients make for the first time lately, attempts, and when the first request came.
     new_requests: Fading,
+    attempts: Fading,
+    /// All requests just now.
+    requests: Fading,
     first_request: Option<Secs>,
     /// The same, if nothing was held then.
     began_empty: Option<Secs>,
@@ -182,8 +203,9 @@
             heard: 0,
             mean_figure: 0.0,
             probing: 0,
-            requests: Fading::default(),
             new_requests: Fading::default(),
+            attempts: Fading::default(),
+            requests: Fading::default(),
             first_request: None,
             began_empty: None,
             classes: vec![0; set.classes.len()],
@@ -280,20 +302,20 @@
         }
     }
 
-    pub fn on_request(&mut self, request: Request) -> RequestId {
+    pub fn on_request(&mut self, request: Request, luck: f64) -> RequestId {
         if self.first_request.is_none() {
             self.first_request = Some(self.now);
             self.began_empty = (self.joined() == 0).then_some(self.now);
         }
-        self.requests.add(self.now, MEMORY, 1.0);
         if !request.again {
             self.new_requests.add(self.now, MEMORY, 1.0);
         }
-        self.adopt(request)
+        self.requests.add(self.now, STORM, 1.0);
+        self.adopt(request, luck)
     }
 
     pub fn on_open(&mut self, request: Request, server: ServerId) {
-        let id = self.adopt(request);
+        let id = self.adopt(request, 0.0);
         self.join(id, server, Phase::Open(server));
     }
 
@@ -316,12 +338,17 @@
         Some(was_out)
     }
 
-    /// Own requests a second.
-    pub fn rate(&self) -> f64 {
-        self.requests.get(self.now, MEMORY) / self.span()
+    /// Own attempts a second: what is refused loads no server.
+    pub fn placing_rate(&self) -> f64 {
+        self.attempts.get(self.now, MEMORY) / self.span()
     }
 
-    /// The same without what clients ask for again.
+    /// Own requests a second just now beside the one that is placed, those that are made again too.
+    pub fn storm(&self) -> f64 {
+        (self.requests.get(self.now, STORM) - CHANCE).max(0.0) / STORM
+    }
+
+    /// Own requests a second, without what clients ask for again.
     pub fn new_rate(&self) -> f64 {
         self.new_requests.get(self.now, MEMORY) / self.span()
     }
@@ -345,13 +372,16 @@
     pub fn sum_figures(&mut self, set: &Settings) -> BTreeMap<Option<usize>, KindSum> {
         let mut sums: BTreeMap<Option<usize>, KindSum> = BTreeMap::new();
         let (mut figures, mut heard) = (0.0, 0.0);
+        let by_load = set.report_fields.contains(&Field::Load);
         // A server cut off keeps its old figure while all own connections to it are lost.
         let sound = |s: &&Server| s.up() && !s.suspect;
         for server in self.servers.values().filter(sound) {
             let (Some(figure), load) = (server.figure, server.load) else {
                 continue;
             };
-            (figures, heard) = (figures + figure, heard + 1.0);
+            // What is piled up on one server is not asked of the others.
+            let most = if by_load { 1.0 } else { f64::INFINITY };
+            (figures, heard) = (figures + figure.min(most), heard + 1.0);
             // A cold one is not yet what it will be, and alone of its kind would seem boundless.
             if server.cold_rest(self.now, set) == 0.0 {
                 for kind in [server.kind(), None] {
@@ -424,7 +454,7 @@
         })
     }
 
-    fn adopt(&mut self, request: Request) -> RequestId {
+    fn adopt(&mut self, request: Request, luck: f64) -> RequestId {
         let id = request.id;
         if let Some(tenant) = request.tenant {
             self.tenants[tenant] += 1;
@@ -441,6 +471,7 @@
                 .filter(|hint| hint.is_finite() && *hint >= 0.0)
                 .unwrap_or_else(|| self.class_load(request.class)),
             told: false,
+            luck,
             request,
         };
         self.conns.insert(id, conn);
@@ -502,6 +533,9 @@
         let Some(conn) = self.conns.get_mut(&id) else {
             return;
         };
+        if matches!(phase, Phase::Out(_)) {
+            self.attempts.add(self.now, MEMORY, 1.0);
+        }
         conn.phase = phase;
         conn.sent_at = self.now;
         conn.tried.push(to);
--- a/crates/balancer/tests/design.rs
+++ b/crates/balancer/tests/design.rs
@@ -116,6 +116,7 @@
     for (one, two, expected) in [(0.2, 0.6, 1), (0.6, 0.2, 2)] {
         let mut bench = Bench::new(settings(), (1..=3).map(entry).collect(), 3);
         bench.report(1, one);
+        bench.now += 0.06;
         bench.report(2, two);
         assert_eq!(
             bench.place(9),
