--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -132,8 +132,6 @@
     /// The client asked for this before, and was refused, failed, cut off or moved; false where clients
     /// don't mark it.
     pub again: bool,
-    /// The same for one that was just refused or failed.
-    pub retry: bool,
 }
 
 /// A server's own word on its load; each value is absent where the site does not report it.
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -107,7 +107,7 @@
         match event {
             Event::Servers(kind, entries) => self.on_list(kind, entries, out),
             Event::Request(request) => {
-                let id = self.state.on_request(request, self.rng.random());
+                let id = self.state.on_request(request);
                 self.place(id, out);
             }
             Event::Open(request, server) => {
@@ -458,14 +458,12 @@
         let conn = &self.state.conns[&id];
         let (now, scarcity) = (self.state.now, self.scarcity());
         let (limit, may_ask, crowd) = (self.limit(conn), self.may_ask(conn), self.crowd());
-        // The less of a group's connections are its own, the more a balancer keeps to the common order.
-        let step = (1.0 + self.sharers().ln()) / PLACES;
         // Outlier ejection: silent and failing servers get nothing while there are others.
         let server = |id: &ServerId| &self.state.servers[id];
         let mut candidates = self.state.first_of(key, CANDIDATES);
         let sound = candidates.any(|(_, id)| self.open(server(&id)) && !self.ejected(server(&id)));
         // Room before rank, or a group's full server hides an idle one; short room bars further shares.
-        let mut ranked: Vec<(f64, ServerId, f64)> = Vec::new();
+        let mut ranked: Vec<(f64, ServerId)> = Vec::new();
         for (place, id) in self.state.first_of(key, CANDIDATES) {
             let server = server(&id);
             let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
@@ -473,36 +471,21 @@
                 continue;
             }
             let group_load = self.group_load(conn, server) * self.state.unit_of(server);
-            let shun = GROUP_SHUN * (1.0 + place as f64 * step) * group_load;
+            let shun = GROUP_SHUN * (1.0 + place as f64 / PLACES) * group_load;
             let after = self.load_after(conn, server, crowd);
             // Room on an unknown server is asked, not guessed, unless all are likely to be swamped.
             let guessed = server.figure_since(now - FORGOTTEN).is_none();
             let asked = guessed && may_ask && (scarcity < 0.5 || self.state.heard < ASKS);
             if asked || after + shun * scarcity <= limit {
-                let one = self.state.unit_of(server) * self.state.mean_load();
-                let room = if guessed && may_ask {
-                    f64::INFINITY
-                } else {
-                    1.0 + (limit - after) / one
-                };
-                ranked.push((after + shun + self.surcharge(server), id, room));
+                ranked.push((after + shun + self.surcharge(server), id));
             }
         }
-        // In a storm peers find the same room at the same time: all together should fill it, not each.
-        let each = self.competing() / ranked.len().max(1) as f64;
-        let luck = conn.luck;
-        ranked.retain(|r| luck * each <= r.2);
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
         ranked.retain(|r| r.0 <= best);
         let pick = self.rng.random_range(0..ranked.len().max(1));
         ranked.get(pick).map(|r| r.1)
     }
 
-    /// How many requests peers are taken to place before reports show it, if they are asked as often.
-    fn competing(&self) -> f64 {
-        self.state.storm() * (self.set.fleet_size as f64 - 1.0) * REPORT_AGE
-    }
-
     fn open(&self, server: &Server) -> bool {
         // A turn that lies beyond the warm-up falls away with it: in a large fleet most do.
         let (now, fleet) = (self.state.now, self.set.fleet_size as f64);
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -23,15 +23,6 @@
     pub relative_size: f64,
 }
 
-/// Time constant of the rate of requests that counts in a storm.
-const STORM: Secs = 4.0;
-
-/// How often a client that is turned away is taken to come again within that time.
-const RETRIES: f64 = 3.0;
-
-/// So many requests of them are no storm: the one that is placed.
-const CHANCE: f64 = 1.0;
-
 /// How long a balancer has only guesses of how much servers hold.
 const YOUNG: Secs = 4.0;
 
@@ -154,8 +145,6 @@
     pub may_have_run: Option<(ServerId, Secs)>,
     /// Its load in seconds of work a second: as last told, or else as usual for its class.
     pub load: f64,
-    /// What part of those that come with it go before it where not all can, from 0 to 1.
-    pub luck: f64,
     pub told: bool,
 }
 
@@ -179,8 +168,6 @@
     /// Requests that clients make for the first time lately, attempts, and when the first request came.
     new_requests: Fading,
     attempts: Fading,
-    /// All requests just now.
-    requests: Fading,
     first_request: Option<Secs>,
     /// When the balancer came to life.
     pub started: Option<Secs>,
@@ -210,7 +197,6 @@
             probing: 0,
             new_requests: Fading::default(),
             attempts: Fading::default(),
-            requests: Fading::default(),
             first_request: None,
             started: None,
             began_empty: None,
@@ -308,7 +294,7 @@
         }
     }
 
-    pub fn on_request(&mut self, request: Request, luck: f64) -> RequestId {
+    pub fn on_request(&mut self, request: Request) -> RequestId {
         if self.first_request.is_none() {
             self.first_request = Some(self.now);
             self.began_empty = (self.joined() == 0).then_some(self.now);
@@ -316,14 +302,11 @@
         if !request.again {
             self.new_requests.add(self.now, MEMORY, 1.0);
         }
-        // One that is turned away comes several times within that time, and would count as several.
-        let counts = if request.retry { 1.0 / RETRIES } else { 1.0 };
-        self.requests.add(self.now, STORM, counts);
-        self.adopt(request, luck)
+        self.adopt(request)
     }
 
     pub fn on_open(&mut self, request: Request, server: ServerId) {
-        let id = self.adopt(request, 0.0);
+        let id = self.adopt(request);
         self.join(id, server, Phase::Open(server));
     }
 
@@ -351,11 +334,6 @@
         self.attempts.get(self.now, MEMORY) / self.span()
     }
 
-    /// Own requests a second just now beside the one that is placed, those that are made again too.
-    pub fn storm(&self) -> f64 {
-        (self.requests.get(self.now, STORM) - CHANCE).max(0.0) / STORM
-    }
-
     /// Own requests a second, without what clients ask for again.
     pub fn new_rate(&self) -> f64 {
         self.new_requests.get(self.now, MEMORY) / self.span()
@@ -462,7 +440,7 @@
         })
     }
 
-    fn adopt(&mut self, request: Request, luck: f64) -> RequestId {
+    fn adopt(&mut self, request: Request) -> RequestId {
         let id = request.id;
         if let Some(tenant) = request.tenant {
             self.tenants[tenant] += 1;
@@ -479,7 +457,6 @@
                 .filter(|hint| hint.is_finite() && *hint >= 0.0)
                 .unwrap_or_else(|| self.class_load(request.class)),
             told: false,
-            luck,
             request,
         };
         self.conns.insert(id, conn);
--- a/crates/proxy/src/admit.rs
+++ b/crates/proxy/src/admit.rs
@@ -122,7 +122,6 @@
         hint,
         patience,
         again: marked("r") || marked("again"),
-        retry: marked("r"),
     };
     Ok((request, id))
 }
