Figures that are forgotten no longer tell a balancer that room is short

`sum_figures` takes each figure that was ever heard, whatever its age, and is worked out only when another comes, which it never does. Ruled out: throttling (no failures), turns, tries.

Change: figures older than FORGOTTEN count neither in the mean nor among those heard, and the sums are taken anew at a request when the last were a second ago.

The new test fails without the change; one of the older ones let the other servers' figures be forgotten and now reports all of them.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -108,6 +108,9 @@
             Event::Servers(kind, entries) => self.on_list(kind, entries, out),
             Event::Request(request) => {
                 let id = self.state.on_request(request);
+                if self.state.learn_after(PROBE_EVERY) {
+                    self.learn_units();
+                }
                 self.place(id, out);
             }
             Event::Open(request, server) => {
@@ -284,7 +287,7 @@
     /// Learns what a unit of load adds to a figure, from servers of a kind together and most from
     /// those that hold most of this balancer's load, as its peers' load is unknown.
     fn learn_units(&mut self) {
-        let (sums, peers) = (self.state.sum_figures(&self.set), self.sharers());
+        let (sums, peers) = (self.state.sum_figures(&self.set, FORGOTTEN), self.sharers());
         // After an own restart little own load says little: a guess weighs more, or all seem tiny for good.
         let usual = self.state.mean_load();
         let unit = 1.0 / USUAL_HELD / usual;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -355,7 +355,7 @@
     }
 
     /// Sums over sound servers with a figure, by kind and over all (`None`); their mean figure is kept.
-    pub fn sum_figures(&mut self, set: &Settings) -> BTreeMap<Option<usize>, KindSum> {
+    pub fn sum_figures(&mut self, set: &Settings, span: Secs) -> BTreeMap<Option<usize>, KindSum> {
         let mut sums: BTreeMap<Option<usize>, KindSum> = BTreeMap::new();
         let (mut figures, mut heard) = (0.0, 0.0);
         let by_load = set.report_fields.contains(&Field::Load);
@@ -367,7 +367,9 @@
             };
             // What is piled up on one server is not asked of the others.
             let most = if by_load { 1.0 } else { f64::INFINITY };
-            (figures, heard) = (figures + figure.min(most), heard + 1.0);
+            if server.heard_since(self.now - span) {
+                (figures, heard) = (figures + figure.min(most), heard + 1.0);
+            }
             // A cold one is not yet what it will be, and alone of its kind would seem boundless.
             if server.cold_rest(self.now, set) == 0.0 {
                 for kind in [server.kind(), None] {
--- a/crates/balancer/tests/scale.rs
+++ b/crates/balancer/tests/scale.rs
@@ -157,10 +157,13 @@
     let mut bench = Bench::new(large(), fleet(), 3);
     for server in 1..=SERVERS {
         bench.open(server, u64::from(server) * 100, &[0.1]);
-        bench.report(server, if server == 1 { 0.5 } else { 0.9 });
     }
     for id in 1..4 {
         bench.now += 5.0;
+        for server in (1..=SERVERS).rev() {
+            bench.report(server, if server == 1 { 0.5 } else { 0.9 });
+        }
+        bench.now += 0.06;
         bench.report(1, 0.5);
         assert_eq!(bench.place(id), Some(1));
         bench.now += 0.2;
--- a/crates/balancer/tests/vast.rs
+++ b/crates/balancer/tests/vast.rs
@@ -293,3 +293,26 @@
     );
     assert!(probed(60.0) <= 2, "{}", probed(60.0));
 }
+
+/// Four full servers once heard of had a balancer with few requests refuse all that came for as long as it
+/// held no connection: their figures were long forgotten, but still told it that room was short.
+#[test]
+fn forgotten_figures_don_t_keep_it_from_asking() {
+    let mut bench = Bench::new(one_of_many(3), (1..=10).map(entry).collect(), 3);
+    for server in 1..=5 {
+        bench.now += 0.06;
+        bench.report(server, 1.0);
+    }
+    let asks = |bench: &mut Bench, id| {
+        let actions = bench.on_alone(Event::Request(usual(id)));
+        actions
+            .iter()
+            .any(|action| matches!(action, Action::Probe(_)))
+    };
+    assert!(
+        !asks(&mut bench, 1),
+        "it has just heard that all it knows are full"
+    );
+    bench.now += 8.0;
+    assert!(asks(&mut bench, 2));
+}
