Upgrades: a successor takes the listener over by a Unix socket, bans and limits bind both

A process with an address for operators waits at $TMPDIR/violetwind.sock. One that starts there says hello and gets the clients' listener itself (SCM_RIGHTS, rustix) with bans, leaving, discovery's address and descriptors in use; once it has discovery's own list (2 s at most) it says that it serves, the old one stops accepting, says so, moves its clients over all the time there is and answers what it has taken. Frames are versioned, bounded, checksummed; what can't be read counts as nobody there. The connection stays: operators' words told to either bind both before the 200, and the successor leaves free the descriptors that the old one holds. A successor that dies gives the clients back. Rejected: both listening with SO_REUSEPORT and the old queue drained.

Tests: two real processes: clients in every state over two upgrades, bans and leaving told to either, a successor that fails before and after it serves, an old one killed outright, noise, stale and silent sockets, one limit on descriptors, no way between them.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -23,7 +23,7 @@
 use crate::limits::Limits;
 use crate::members::Members;
 use crate::spread::Spread;
-use crate::words::{Listed, Notice, Order, Reply};
+use crate::words::{Binding, Listed, Notice, Order, Reply};
 
 /// The name under which the list of the last run is weighed.
 const LAST_RUN: &str = "last run";
@@ -139,7 +139,7 @@
         mut self,
         mut inbox: mpsc::Receiver<Notice>,
         known: Vec<Listed>,
-        ready: watch::Sender<bool>,
+        ready: Rc<watch::Sender<bool>>,
     ) {
         self.start(Instant::now(), known);
         loop {
@@ -367,19 +367,23 @@
                 self.handle(Event::Settings(settings));
             }
             // Nobody may wait for the answer any more.
-            Notice::Operator(change, reply) => drop(reply.send(self.change(change))),
+            Notice::Operator(change, binding, reply) => {
+                drop(reply.send(self.change(change, binding)));
+            }
             Notice::Health(reply) => drop(reply.send(self.addresses.len())),
         }
     }
 
     /// Carries out an operator's word: once this returns, it is in force.
-    fn change(&mut self, change: Change) -> Reply {
+    fn change(&mut self, change: Change, binding: Binding) -> Reply {
         let now = (self.clock.at(self.now) * 1e3) as Millis;
         let kept = match &change {
             Change::Leave | Change::Join if self.ending => return Reply::Ending,
             Change::Leave => self.leave(),
             Change::Join => self.join(),
-            Change::Offline(uid) | Change::Online(uid) if !self.named(uid) => {
+            Change::Offline(uid) | Change::Online(uid)
+                if binding == Binding::IfNamed && !self.named(uid) =>
+            {
                 return Reply::Unknown;
             }
             Change::Offline(uid) => self.bans.put_out(uid, now, &self.service),
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -53,12 +53,19 @@
     Succeeded(Option<Range<Duration>>),
     /// Other settings hold from now on.
     Settings(Box<Settings>, Names),
-    /// An operator's word; the answer comes once it is in force.
-    Operator(Change, oneshot::Sender<Reply>),
+    /// An operator's word; the answer comes once it is in force. One that another process of this proxy has
+    /// taken is binding here whether or not a list has named the server.
+    Operator(Change, Binding, oneshot::Sender<Reply>),
     /// Answered as soon as the engine comes to it: how many servers it knows.
     Health(oneshot::Sender<usize>),
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Binding {
+    IfNamed,
+    Always,
+}
+
 /// What became of an operator's word.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -9,7 +9,9 @@
 use tokio::time::Instant;
 use violetwind_balancer::api::*;
 use violetwind_common::{Names, Row, server_id};
-use violetwind_engine::{Clock, Engine, Limits, Listed, Notice, Order, Probe, Reply, Setup};
+use violetwind_engine::{
+    Binding, Clock, Engine, Limits, Listed, Notice, Order, Probe, Reply, Setup,
+};
 use violetwind_service::{Bans, Change};
 
 pub const START: Secs = 1.7e9;
@@ -139,7 +141,7 @@
 
     pub fn say(&mut self, change: Change) -> Reply {
         let (reply, mut answer) = oneshot::channel();
-        self.take(Notice::Operator(change, reply));
+        self.take(Notice::Operator(change, Binding::IfNamed, reply));
         answer.try_recv().expect("in force at once")
     }
 
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -21,6 +21,7 @@
     /// probes. What is left is the reserve: the listener, discovery, the runtime's own and the
     /// standard streams. Clients may hold a third of all for requests, so two thirds are for those.
     pub descriptors: usize,
+    pub reserve: usize,
     pub first_lines: usize,
     pub probe_descriptors: usize,
     /// Names in one line.
@@ -97,6 +98,16 @@
     pub call: Duration,
     pub call_answer: Duration,
     pub service: violetwind_service::Limits,
+    /// Between a process and its successor: how long one waits for the other's first words, a successor
+    /// may take until it serves, which is due within 6 s, and the earlier one to say that it has stopped.
+    pub hand_over: Duration,
+    pub successor: Duration,
+    pub stopped: Duration,
+    /// A successor waits so long for discovery's own list.
+    pub successor_list: Duration,
+    /// Words of operators on the way to the other process, and how often it hears of descriptors.
+    pub forwards: usize,
+    pub holds_tick: Duration,
 
     pub engine: violetwind_engine::Limits,
 }
@@ -164,6 +175,7 @@
             ring_bytes: 8192,
             reads: 8,
             descriptors,
+            reserve,
             first_lines,
             probe_descriptors,
             fields: 32,
@@ -206,6 +218,12 @@
             call: ms(5000),
             call_answer: ms(800),
             service: violetwind_service::Limits::default(),
+            hand_over: ms(500),
+            successor: ms(10_000),
+            stopped: ms(500),
+            successor_list: ms(2000),
+            forwards: 16,
+            holds_tick: ms(50),
             engine: violetwind_engine::Limits {
                 notices: 1024,
                 slice: 256,
@@ -224,6 +242,8 @@
     /// All clients are moved from here to there after the signal: as late as is safe, or they come while
     /// the proxy that was restarted before is not back.
     pub moves: Range<Duration>,
+    /// The same where a successor serves already: over all the time there is.
+    pub succeeded: Range<Duration>,
     /// The end, whatever is left.
     pub exit: Duration,
 }
@@ -236,6 +256,7 @@
         let moved = secs(term.max(0.8));
         Self {
             moves: secs((0.5 * term).max(0.45))..moved,
+            succeeded: Duration::ZERO..moved,
             exit: secs(term + 0.45),
         }
     }
@@ -246,6 +267,8 @@
 pub struct Descriptors {
     left: Rc<Cell<usize>>,
     all: usize,
+    /// In use by another process of this proxy: both together keep one limit.
+    lent: Rc<Cell<usize>>,
 }
 
 impl Descriptors {
@@ -253,16 +276,26 @@
         Self {
             left: Rc::new(Cell::new(all)),
             all,
+            lent: Rc::default(),
         }
     }
 
+    /// Leaves so many to another process from now on.
+    pub fn lend(&self, count: usize) {
+        self.lent.set(count);
+    }
+
     pub fn in_use(&self) -> usize {
         self.all - self.left.get()
     }
 
     /// So many descriptors until the permit is dropped, if they are there.
     pub fn take(&self, count: usize) -> Option<Permit> {
-        self.left.set(self.left.get().checked_sub(count)?);
+        let left = self.left.get().checked_sub(count)?;
+        if left < self.lent.get() {
+            return None;
+        }
+        self.left.set(left);
         Some(Permit {
             left: self.left.clone(),
             count,
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -11,6 +11,7 @@
 mod config;
 mod discovery;
 mod first_lines;
+mod handover;
 mod limits;
 mod line;
 mod management;
@@ -38,6 +39,7 @@
 use clap::Parser;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 use tracing::{info, warn};
 use violetwind_engine::{Clock, Engine, Setup};
 use violetwind_record::Recorder;
@@ -46,7 +48,8 @@
 use crate::config::{Config, Reports};
 use crate::discovery::Tells;
 use crate::first_lines::FirstLines;
-use crate::limits::{Descriptors, Limits};
+use crate::handover::{Before, Side};
+use crate::limits::{Descriptors, Limits, Term};
 use crate::operator::{Layers, Operator};
 use crate::probe::Probes;
 use crate::recording::Recording;
@@ -119,22 +122,27 @@
     let limits = Rc::new(limits);
     let requests = Descriptors::new(limits.descriptors);
     let first_lines = FirstLines::new(&limits, limits.first_lines);
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", config.listen)))?;
+    // What outlives this process in an upgrade; without an address for operators there is none.
+    let dir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty());
+    let dir = dir
+        .map(PathBuf::from)
+        .filter(|_| config.management.is_some());
+    let mut before = Before::find(dir.as_deref(), config.listen, &limits).await;
+    let listener = match before.listener.take() {
+        Some(listener) => listener,
+        None => handover::listen(config.listen, dir.is_some())
+            .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", config.listen)))?,
+    };
+    let listener = Rc::new(listener);
+    if let Some(at) = before.discovery {
+        reload.moved(at);
+    }
     info!(name = config.name, listen = %config.listen, memory_mb = config.memory_mb,
         descriptors = limits.descriptors, first_lines = limits.first_lines, "start");
     let (notices, inbox) = mpsc::channel(limits.engine.notices);
     let settings = config.settings.clone();
     let reports = config.reports != Reports::Nowhere && !settings.report_fields.is_empty();
     let weighed = !operator.sources.is_empty();
-    let dir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty());
-    let dir = dir
-        .map(PathBuf::from)
-        .filter(|_| config.management.is_some());
-    let bans = dir
-        .as_deref()
-        .map(|dir| service::kept(dir, &limits.service));
     let setup = Setup {
         settings,
         seed: config.seed,
@@ -142,8 +150,8 @@
         limits: limits.engine.clone(),
         catalogue: weighed.then(|| operator.catalogue.clone()),
         service: limits.service.clone(),
-        bans: bans.unwrap_or_default(),
-        left: false,
+        bans: before.bans.clone(),
+        left: before.left,
     };
     let probes = Probes::new(limits.clone(), reports, notices.clone());
     let engine = Engine::new(setup, Clock::new(), probes);
@@ -156,8 +164,11 @@
     };
     // Changes since then make a whole list only of one.
     let since = (known.whole && !known.rows.is_empty()).then_some(known.version);
+    // A successor asks for the whole list: what the process before was told binds it too.
+    let since = since.filter(|_| before.elder.is_none());
     // The last run's list serves at once: in a herd of restarts discovery may not answer for seconds.
     let (ready, is_ready) = watch::channel(since.is_some());
+    let ready = Rc::new(ready);
     let descriptors = (requests.clone(), first_lines.clone());
     let recording = match &operator.record {
         Some(record) => {
@@ -168,7 +179,14 @@
         }
         None => None,
     };
-    let service = Service::new(&limits, notices.clone(), is_ready.clone(), dir, false);
+    let told = (before.bans, before.left, before.discovery);
+    let service = Service::new(
+        &limits,
+        notices.clone(),
+        is_ready.clone(),
+        dir.clone(),
+        told,
+    );
     let engine_too = notices.clone();
     let shared = Shared::new(
         &config,
@@ -179,7 +197,7 @@
         service.clone(),
         recording,
     );
-    let engine = tokio::task::spawn_local(engine.run(inbox, known.rows, ready));
+    let engine = tokio::task::spawn_local(engine.run(inbox, known.rows, ready.clone()));
     let Reloaded { discovery, sources } = reloaded;
     match weighed {
         true => {
@@ -197,9 +215,7 @@
             tokio::task::spawn_local(watch);
         }
     }
-    tokio::task::spawn_local(reload.run());
-    tokio::task::spawn_local(take_in::accept(listener, shared));
-    service.set_stand(Stand::Serving);
+    tokio::task::spawn_local(reload.run(service.clone()));
     if let Some(at) = config.management {
         let named =
             |error: io::Error| io::Error::new(error.kind(), format!("management {at}: {error}"));
@@ -208,6 +224,28 @@
         let calls = management::accept(listener, limits.clone(), service.clone());
         tokio::task::spawn_local(calls);
     }
+    let (accepting, is_accepting) = watch::channel(true);
+    let side = Rc::new(Side {
+        limits: limits.clone(),
+        service: service.clone(),
+        engine: notices.clone(),
+        requests: requests.clone(),
+        first_lines: first_lines.clone(),
+        accepting,
+    });
+    if let Some(elder) = before.elder {
+        // Without discovery's own list in time the last known one must do, as at any start.
+        let mut listed = ready.subscribe();
+        let _ = timeout(limits.successor_list, listed.wait_for(|listed| *listed)).await;
+        ready.send_replace(true);
+        elder.succeed(side.clone()).await;
+    }
+    tokio::task::spawn_local(take_in::accept(listener.clone(), is_accepting, shared));
+    service.set_stand(Stand::Serving);
+    if let Some(dir) = dir {
+        let term = Term::new(config.longest_deadline);
+        tokio::task::spawn_local(handover::offer(dir, listener, term, side));
+    }
     let longest = || config.longest_deadline;
     let ended = shutdown::wait(limits, (requests, first_lines), notices, longest, &service);
     tokio::select! {
--- a/crates/proxy/src/reload.rs
+++ b/crates/proxy/src/reload.rs
@@ -10,6 +10,7 @@
 
 use crate::config::Config;
 use crate::operator::{Layers, Operator, Source};
+use crate::service::Service;
 
 /// Serves SIGHUP for as long as the process runs, also while it shuts down.
 pub struct Reload {
@@ -48,15 +49,20 @@
         Ok((reload, Reloaded { discovery, sources }))
     }
 
+    /// Where discovery was moved to before this process started.
+    pub fn moved(&self, at: SocketAddr) {
+        self.address.send_replace(at);
+    }
+
     /// Signals that come in a row count as one: what counts is what the files say last.
-    pub async fn run(mut self) {
+    pub async fn run(mut self, service: Rc<Service>) {
         while self.signals.recv().await.is_some() {
-            self.platform();
+            self.platform(&service);
             self.operators();
         }
     }
 
-    fn platform(&self) {
+    fn platform(&self, service: &Service) {
         let new = match Config::again() {
             Ok(new) => new,
             Err(error) => return warn!(%error, "reload: the configuration stays as it was"),
@@ -68,6 +74,9 @@
         let moved = self
             .address
             .send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
+        if moved {
+            service.set_moved_discovery(new.discovery);
+        }
         info!(discovery = %new.discovery, moved, "reload");
     }
 
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -1,15 +1,17 @@
-//! Carries out what operators call for: in the engine and on disk. An answer begins with 200
-//! only once both have it.
+//! Carries out what operators call for: in the engine, on disk, and at the other process of an upgrade. An
+//! answer begins with 200 only once all of them have it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 use tracing::{info, warn};
-use violetwind_engine::{Notice, Reply};
+use violetwind_engine::{Binding, Notice, Reply};
 use violetwind_service::call::Call;
 use violetwind_service::{Bans, Change, handover};
 
@@ -20,9 +22,14 @@
 pub enum Stand {
     Starting,
     Serving,
+    /// A successor serves in its place.
+    Succeeded,
     Ending,
 }
 
+/// What is asked of the other process of an upgrade, with the way back for its answer.
+pub type Forward = (Change, oneshot::Sender<()>);
+
 #[derive(Debug)]
 pub struct Service {
     limits: Rc<Limits>,
@@ -33,6 +40,13 @@
     ready: watch::Receiver<bool>,
     left: Cell<bool>,
     stand: Cell<Stand>,
+    /// The bans as the engine last told them.
+    bans: RefCell<Bans>,
+    /// Where a reload has moved discovery to.
+    discovery: Cell<Option<SocketAddr>>,
+    /// The ways to the other processes of an upgrade, by number: one, or two for a moment.
+    others: RefCell<BTreeMap<u64, mpsc::Sender<Forward>>>,
+    next_other: Cell<u64>,
 }
 
 impl Service {
@@ -41,7 +55,7 @@
         engine: mpsc::Sender<Notice>,
         ready: watch::Receiver<bool>,
         dir: Option<PathBuf>,
-        left: bool,
+        (bans, left, discovery): (Bans, bool, Option<SocketAddr>),
     ) -> Rc<Self> {
         Rc::new(Self {
             limits: limits.clone(),
@@ -50,6 +64,10 @@
             ready,
             left: Cell::new(left),
             stand: Cell::new(Stand::Starting),
+            bans: RefCell::new(bans),
+            discovery: Cell::new(discovery),
+            others: RefCell::default(),
+            next_other: Cell::default(),
         })
     }
 
@@ -66,6 +84,29 @@
         self.stand.set(stand);
     }
 
+    pub fn bans(&self) -> Bans {
+        self.bans.borrow().clone()
+    }
+
+    pub fn moved_discovery(&self) -> Option<SocketAddr> {
+        self.discovery.get()
+    }
+
+    pub fn set_moved_discovery(&self, at: SocketAddr) {
+        self.discovery.set(Some(at));
+    }
+
+    /// Operators' words go this way too from now on.
+    pub fn add_other(&self, to: mpsc::Sender<Forward>) -> u64 {
+        let id = self.next_other.replace(self.next_other.get() + 1);
+        self.others.borrow_mut().insert(id, to);
+        id
+    }
+
+    pub fn remove_other(&self, id: u64) {
+        self.others.borrow_mut().remove(&id);
+    }
+
     /// The answer to a call, in time.
     pub async fn call(self: &Rc<Self>, call: Call) -> String {
         let service = self.clone();
@@ -73,7 +114,7 @@
         let task = tokio::task::spawn_local(async move {
             match call {
                 Call::Health => service.health().await,
-                Call::Change(change) => service.apply(change).await,
+                Call::Change(change) => service.change(change).await,
             }
         });
         match timeout(self.limits.call_answer, task).await {
@@ -87,6 +128,7 @@
     async fn health(&self) -> Result<String, String> {
         match self.stand() {
             Stand::Starting => return Err("starting".into()),
+            Stand::Succeeded => return Err("a successor serves".into()),
             Stand::Ending => return Err("ending".into()),
             Stand::Serving if !*self.ready.borrow() => return Err("no list of servers yet".into()),
             Stand::Serving => {}
@@ -100,11 +142,40 @@
         Ok(format!("serving, {servers} servers known{left}"))
     }
 
+    /// Has a change in force everywhere. The word of this process counts: another may have no list yet.
+    async fn change(&self, change: Change) -> Result<String, String> {
+        let word = self.apply(change.clone(), Binding::IfNamed).await?;
+        self.forward(None, change).await;
+        Ok(word)
+    }
+
+    /// The same for a word that came from another process.
+    pub async fn heed(&self, from: u64, change: Change) -> Result<String, String> {
+        let word = self.apply(change.clone(), Binding::Always).await;
+        self.forward(Some(from), change).await;
+        word
+    }
+
+    async fn forward(&self, from: Option<u64>, change: Change) {
+        let others: Vec<_> = {
+            let others = self.others.borrow();
+            let others = others.iter().filter(|(id, _)| Some(**id) != from);
+            others.map(|(_, to)| to.clone()).collect()
+        };
+        for other in others {
+            let (done, is_done) = oneshot::channel();
+            // One that has gone in between needs no word any more.
+            if other.send((change.clone(), done)).await.is_ok() && is_done.await.is_err() {
+                info!("another process went before it was told");
+            }
+        }
+    }
+
     /// Has a change in force here and on disk.
-    pub async fn apply(&self, change: Change) -> Result<String, String> {
+    async fn apply(&self, change: Change, binding: Binding) -> Result<String, String> {
         let (reply, answer) = oneshot::channel();
         let gone = || "the engine has ended".to_string();
-        let notice = Notice::Operator(change.clone(), reply);
+        let notice = Notice::Operator(change.clone(), binding, reply);
         self.engine.send(notice).await.map_err(|_| gone())?;
         let (bans, same) = match answer.await.map_err(|_| gone())? {
             Reply::Changed(bans) => (bans, ""),
@@ -122,6 +193,7 @@
         match change {
             Change::Leave | Change::Join => self.left.set(change == Change::Leave),
             Change::Offline(_) | Change::Online(_) => {
+                self.bans.replace(bans.clone());
                 if let Err(error) = self.keep(&bans) {
                     warn!(error, "the servers that are out can't be kept");
                     return Err(format!("{word}, but not kept for an upgrade: {error}"));
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -30,9 +30,15 @@
     let asked = Instant::now();
     info!("told to end");
     let term = Term::new(longest_deadline());
+    let succeeded = service.stand() == Stand::Succeeded;
     service.set_stand(Stand::Ending);
+    let moves = if succeeded {
+        term.succeeded
+    } else {
+        term.moves
+    };
     // Without an engine there is nobody to move.
-    let _ = engine.send(Notice::Shutdown(term.moves)).await;
+    let _ = engine.send(Notice::Shutdown(moves)).await;
     let (from, until) = (asked + limits.term_least, asked + term.exit);
     sleep_until(from).await;
     // One is always held by the listener for the next client.
--- a/crates/proxy/src/take_in.rs
+++ b/crates/proxy/src/take_in.rs
@@ -19,7 +19,7 @@
 use crate::recording::Recording;
 use crate::repeats::Repeats;
 use crate::ring::{Ring, skip_block};
-use crate::service::Service;
+use crate::service::{Service, Stand};
 use violetwind_engine::Notice;
 
 /// What all connections share.
@@ -91,10 +91,31 @@
 }
 
 /// Accepts for good. With no place left the oldest that has said nothing goes.
-pub async fn accept(listener: TcpListener, shared: Rc<Shared>) {
+pub async fn accept(
+    listener: Rc<TcpListener>,
+    mut accepting: watch::Receiver<bool>,
+    shared: Rc<Shared>,
+) {
     loop {
         let place = shared.first_lines.place().await;
-        match listener.accept().await {
+        // The queue is another process's while this one does not accept.
+        let accepted = tokio::select! {
+            biased;
+            stopped = accepting.wait_for(|on| !on) => Err(stopped.is_err()),
+            accepted = listener.accept() => Ok(accepted),
+        };
+        let accepted = match accepted {
+            Ok(accepted) => accepted,
+            Err(true) => return,
+            Err(false) => {
+                drop(place);
+                if accepting.wait_for(|on| *on).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
                 let probes = TcpKeepalive::new()
@@ -151,6 +172,10 @@
         if !client.say(word, limits).await {
             return;
         }
+        if shared.service.stand() == Stand::Succeeded {
+            // Who goes on asking finds the successor.
+            return client.farewell(limits).await;
+        }
         if let Some(place) = &mut client.place {
             place.renew();
         }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -319,6 +319,12 @@
         Duration::from_millis(10 * (ticks(12) + ticks(13)))
     }
 
+    /// How many descriptors it has open.
+    pub fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).unwrap().count()
+    }
+
     /// The most memory it has held, in KiB.
     pub fn memory_kib(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
--- /dev/null
+++ b/crates/proxy/tests/upgrade.rs
@@ -0,0 +1,264 @@
+//! Upgrades: two real processes of the program, one address for clients, one directory.
+
+mod common;
+
+use std::io::Write;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{Answers, Discovery, End, Peer, Proxy, Server, without_loads};
+use serde_json::json;
+
+fn managed(server: &Server) -> (Discovery, Proxy) {
+    let discovery = Discovery::start(&[server.target("ready")]);
+    let proxy = Proxy::managed(&discovery, without_loads);
+    // Its socket is there.
+    proxy.logged("successors are awaited");
+    (discovery, proxy)
+}
+
+fn wait_health(proxy: &Proxy) {
+    proxy.logged("operators are heard");
+    let until = Instant::now() + Duration::from_secs(6);
+    while !proxy.call("HEALTH").starts_with("200") {
+        assert!(Instant::now() < until, "never serves:\n{}", proxy.log());
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// The old process has standing clients, one whose answer is out, one that has said half its line, and
+/// some that lie in the queue; new ones come all the while. None is refused, cut off or left unread.
+#[test]
+fn no_client_meets_a_refusal_or_a_reset() {
+    let server = Server::start("s-1");
+    let (discovery, mut old) = managed(&server);
+    let mut standing: Vec<(Peer, Peer)> = (0..10).map(|_| old.up(&server)).collect();
+    let mut waits = old.open("book");
+    let (_, mut answers_late) = server.opened();
+    let mut half = Peer::connect(old.addr);
+    half.send(b"OPEN 00000000000000aa 7f3a9c21e0b4");
+    let new = old.successor(discovery.addr);
+    let mut met = vec![old.up(&server)];
+    new.logged("operators are heard");
+    let until = Instant::now() + Duration::from_secs(6);
+    loop {
+        met.push(old.up(&server));
+        if new.call("HEALTH").starts_with("200") {
+            break;
+        }
+        assert!(Instant::now() < until, "{}", new.log());
+    }
+    assert!(old.no("HEALTH").contains("successor"));
+    old.signal("-TERM");
+    let at = Instant::now();
+    half.send(b"d655 c=watch,d=2000\r\n");
+    let (_, mut of_half) = server.opened();
+    of_half.say("UP 5");
+    assert_eq!(half.hear(), "UP 5");
+    answers_late.say("UP 7");
+    assert_eq!(waits.hear(), "UP 7");
+    while old.alive() {
+        met.push(new.up(&server));
+        assert!(new.pong());
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(old.ended().success());
+    assert!(
+        at.elapsed() < Duration::from_millis(2700),
+        "{:?}",
+        at.elapsed()
+    );
+    // Who was with the old process is moved; who came to the new one stays.
+    for (client, _conn) in &mut standing {
+        assert_eq!(client.hear(), "MOVE");
+        assert_eq!(client.end(), End::Closed);
+    }
+    assert_eq!(waits.hear(), "MOVE");
+    assert_eq!(half.hear(), "MOVE");
+    let (client, conn) = met.last_mut().unwrap();
+    client.say("SAY on");
+    assert_eq!(conn.hear(), "SAY on");
+    // And once more.
+    let newest = new.successor(discovery.addr);
+    wait_health(&newest);
+    new.signal("-TERM");
+    assert_eq!(client.hear(), "MOVE");
+    newest.up(&server);
+}
+
+/// A ban told to either binds both, before and after the new one serves, and so does its end.
+#[test]
+fn bans_and_leaving_hold_for_both_processes() {
+    let servers = ["s-1", "s-2"].map(Server::start);
+    let targets = servers.each_ref().map(|s| s.target("ready"));
+    let discovery = Discovery::start(&targets);
+    let old = Proxy::managed(&discovery, without_loads);
+    old.logged("successors are awaited");
+    old.yes("OFFLINE s-1");
+    let new = old.successor(discovery.addr);
+    wait_health(&new);
+    assert!(new.yes("OFFLINE s-1").contains("already"));
+    assert!(new.yes("ONLINE s-1").contains("in use"));
+    assert!(old.yes("ONLINE s-1").contains("already"));
+    assert!(old.yes("OFFLINE s-2").contains("is out"));
+    assert!(new.yes("OFFLINE s-2").contains("already"));
+    for _ in 0..5 {
+        new.up(&servers[0]);
+    }
+    assert!(servers[1].nothing_opened());
+    old.yes("LEAVE");
+    assert!(!new.pong());
+    assert!(new.yes("HEALTH").contains("left"));
+    new.yes("JOIN");
+    assert!(new.pong());
+    old.signal("-KILL");
+    new.logged("the earlier process has gone");
+    assert!(new.yes("OFFLINE s-2").contains("already"));
+}
+
+/// A left proxy's successor is left too, until it is told otherwise.
+#[test]
+fn a_successor_of_a_left_proxy_is_left() {
+    let server = Server::start("s-1");
+    let (discovery, old) = managed(&server);
+    old.yes("LEAVE");
+    let new = old.successor(discovery.addr);
+    wait_health(&new);
+    assert!(!new.pong());
+    assert!(new.open("watch").hear().starts_with("BUSY"));
+    new.yes("JOIN");
+    assert!(new.pong());
+    new.up(&server);
+}
+
+/// The file of the configuration is bad, or the new process is killed: the old one goes on as it was.
+#[test]
+fn a_successor_that_fails_leaves_the_old_one_as_it_was() {
+    let server = Server::start("s-1");
+    let (discovery, old) = managed(&server);
+    let (mut client, mut conn) = old.up(&server);
+    let good = old.config_text();
+    let path = old.dir().join("config.json");
+    std::fs::write(&path, good.replace("\"seed\"", "\"sead\"")).unwrap();
+    let mut bad = old.successor(discovery.addr);
+    assert!(!bad.ended().success());
+    std::fs::write(&path, &good).unwrap();
+    old.yes("HEALTH");
+    // One that serves already and dies.
+    let mut new = old.successor(discovery.addr);
+    wait_health(&new);
+    old.no("HEALTH");
+    new.signal("-KILL");
+    new.ended();
+    old.logged("clients are served here again");
+    old.yes("HEALTH");
+    old.up(&server);
+    assert!(old.pong());
+    // Its clients were on their way already, unless they were not told yet.
+    client.say("SAY on");
+    conn.say("OK on");
+    assert!(["OK on", "MOVE"].contains(&client.hear().as_str()));
+}
+
+#[test]
+fn an_old_process_killed_outright_takes_nothing_with_it_but_its_own() {
+    let server = Server::start("s-1");
+    let (discovery, mut old) = managed(&server);
+    let (mut client, _conn) = old.up(&server);
+    let new = old.successor(discovery.addr);
+    wait_health(&new);
+    old.signal("-KILL");
+    old.ended();
+    assert!(matches!(client.try_hear(), Err(_) | Ok(_)));
+    new.up(&server);
+    assert!(new.pong());
+    new.yes("OFFLINE s-1");
+}
+
+/// What lies in the directory may be of anybody: half a message, noise, a socket nobody listens at, one
+/// that says nothing.
+#[test]
+fn what_can_not_be_read_counts_as_nobody_there() {
+    let server = Server::start("s-1");
+    let (discovery, old) = managed(&server);
+    let socket = old.dir().join("violetwind.sock");
+    // Noise at the old one's socket keeps nobody waiting, and harms nothing.
+    for noise in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        b"VWHO\x02",
+        b"VWHO\x01\xff\xff\xff\xff",
+        b"",
+    ] {
+        let mut stream = UnixStream::connect(&socket).unwrap();
+        stream.write_all(noise).unwrap();
+    }
+    let _silent = UnixStream::connect(&socket).unwrap();
+    let new = old.successor(discovery.addr);
+    wait_health(&new);
+    new.logged("the earlier process has handed over");
+    drop(new);
+    // Stale, silent, or an ordinary file: each process listens by itself beside the old one.
+    let quiet = old.dir().join("quiet");
+    let kinds: [&dyn Fn(); 3] = [
+        &|| drop(UnixListener::bind(&socket).unwrap()),
+        &|| std::mem::forget(UnixListener::bind(&socket).unwrap()),
+        &|| std::fs::write(&socket, "text").unwrap(),
+    ];
+    for kind in kinds {
+        let _ = std::fs::remove_file(&socket);
+        let _ = std::fs::remove_file(&quiet);
+        kind();
+        let alone = old.successor(discovery.addr);
+        wait_health(&alone);
+        alone.logged("nobody hands over");
+    }
+    old.yes("HEALTH");
+}
+
+/// Both together keep one limit on descriptors.
+#[test]
+fn both_processes_share_one_limit_on_descriptors() {
+    let server = Server::start("s-1");
+    let discovery = Discovery::start(&[server.target("ready")]);
+    let old = Proxy::managed(&discovery, |config| {
+        without_loads(config);
+        config["limits"]["sockets"] = json!(120);
+    });
+    old.logged("successors are awaited");
+    let _held: Vec<(Peer, Peer)> = (0..10).map(|_| old.up(&server)).collect();
+    let new = old.successor(discovery.addr);
+    wait_health(&new);
+    let mut pairs = Vec::new();
+    loop {
+        let mut client = new.open("watch");
+        let came = server.opened_or(|| !client.quiet_for(Duration::from_millis(1)));
+        let Some((_, mut conn)) = came else {
+            assert_eq!(client.hear(), "BUSY");
+            break;
+        };
+        conn.say("UP 1");
+        assert_eq!(client.hear(), "UP 1");
+        pairs.push((client, conn));
+        assert!(old.descriptors() + new.descriptors() <= 120);
+    }
+}
+
+/// Where Unix sockets can't be had there, the address is shared.
+#[test]
+fn without_a_way_between_them_both_listen() {
+    let server = Server::start("s-1");
+    let (discovery, old) = managed(&server);
+    let socket = old.dir().join("violetwind.sock");
+    std::fs::remove_file(&socket).unwrap();
+    std::fs::create_dir(&socket).unwrap();
+    std::fs::write(socket.join("x"), "").unwrap();
+    let new = old.successor(discovery.addr);
+    wait_health(&new);
+    new.logged("no successor can be handed over to");
+    for _ in 0..8 {
+        old.up(&server);
+    }
+    old.signal("-TERM");
+    wait_health(&new);
+}
