A reload takes new settings whole or not at all; connections keep the class they were taken with

At SIGHUP the file is read, checked and given the numbers of the one in force (`common::retune`): a class is told from another by its name and all that holds for it, keeps its number for good, and gets it back if it comes back. The module hears of the settings as an event, before any request under a new class can reach it; then discovery's address is taken; then the front. A file that lacks a key that the running one has, or whose deadline or number of attempts is no number above 0, changes nothing, its address of discovery included; the log names the key. Limits made at the start are named as needing a restart. Rejected: requests that carry their class's terms with them. The books by class (loads told, worth held) need a number all the same, and each event would carry what hardly ever changes.

Lines at fault: reload.rs took the address of any file that parsed, and `settings` was "needs a restart".

Tests: numbers by meaning, by name, bounded; connections keep their class and attempts are fewer at once; classes appear and vanish on sockets; thirteen files with one fault each are turned down whole.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -23,7 +23,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     pub effect: Effect,
     pub scope: Scope,
--- a/crates/common/src/settings.rs
+++ b/crates/common/src/settings.rs
@@ -5,13 +5,35 @@
 use crate::facts::Facts;
 use crate::report::field;
 
+/// A name behind a number; the number stays when the name is used no more.
+#[derive(Clone, Debug)]
+pub(crate) struct Name {
+    pub name: String,
+    pub current: bool,
+}
+
+impl Name {
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_string(),
+            current: true,
+        }
+    }
+}
+
+fn current(names: &[Name], name: Option<&str>) -> Option<usize> {
+    names
+        .iter()
+        .position(|known| known.current && Some(known.name.as_str()) == name)
+}
+
 /// The names an instance's settings use; inside, classes, tenants, zones and kinds are numbers.
 #[derive(Clone, Debug, Default)]
 pub struct Names {
     pub(crate) zones: Vec<String>,
     pub(crate) kinds: Vec<String>,
-    pub(crate) classes: Vec<String>,
-    pub(crate) tenants: Vec<String>,
+    pub(crate) classes: Vec<Name>,
+    pub(crate) tenants: Vec<Name>,
     /// Whether the list's rating is a server's size.
     pub(crate) rated: bool,
 }
@@ -22,11 +44,11 @@
 
 impl Names {
     pub fn class(&self, name: &str) -> Option<usize> {
-        index(&self.classes, Some(name))
+        current(&self.classes, Some(name))
     }
 
     pub fn tenant(&self, name: Option<&str>) -> Option<usize> {
-        index(&self.tenants, name)
+        current(&self.tenants, name)
     }
 }
 
@@ -41,7 +63,7 @@
     let mut classes = Vec::new();
     for at in 0..facts.int_or("request-classes.count", 0)? {
         let key = |part: &str| format!("request-classes.{at}.{part}");
-        names.classes.push(facts.need(&key("name"))?.to_string());
+        names.classes.push(Name::new(facts.need(&key("name"))?));
         classes.push(Class {
             effect: match facts.need(&key("idempotency"))? {
                 "pure" => Effect::Safe,
@@ -68,7 +90,7 @@
     for at in 0..facts.int_or("orgs.count", 0)? {
         names
             .tenants
-            .push(facts.need(&format!("orgs.{at}.name"))?.to_string());
+            .push(Name::new(facts.need(&format!("orgs.{at}.name"))?));
         tenants.push(Tenant {
             quota: quotas.get(at as usize).and_then(|quota| quota.parse().ok()),
         });
--- /dev/null
+++ b/crates/common/tests/retune.rs
@@ -0,0 +1,91 @@
+//! Settings that take others' place: numbers stay with what they meant, by meaning and not by position.
+
+use std::collections::BTreeMap;
+
+use violetwind_balancer::api::{Effect, Settings};
+use violetwind_common::{Facts, NUMBERS, Names, retune, settings};
+
+struct Told(BTreeMap<String, String>);
+
+impl Facts for Told {
+    fn get(&self, name: &str) -> Option<&str> {
+        self.0.get(name).map(String::as_str)
+    }
+}
+
+/// Settings with these classes (name, effect), tenants (name, quota) and zones, as seen from the last zone.
+fn told(classes: &[(&str, &str)], tenants: &[(&str, &str)], zones: &str) -> (Settings, Names) {
+    let mut facts = BTreeMap::new();
+    let mut put = |key: String, value: &str| drop(facts.insert(key, value.to_string()));
+    put("request-classes.count".into(), &classes.len().to_string());
+    for (at, (name, effect)) in classes.iter().enumerate() {
+        put(format!("request-classes.{at}.name"), name);
+        put(format!("request-classes.{at}.idempotency"), effect);
+    }
+    put("orgs.count".into(), &tenants.len().to_string());
+    for (at, (name, _)) in tenants.iter().enumerate() {
+        put(format!("orgs.{at}.name"), name);
+    }
+    let quotas: Vec<&str> = tenants.iter().map(|(_, quota)| *quota).collect();
+    put(
+        "family-info.tenant-quota-connections".into(),
+        &quotas.join(","),
+    );
+    put("azs".into(), zones);
+    put("zone".into(), zones.rsplit(',').next().unwrap());
+    settings(&Told(facts)).unwrap()
+}
+
+#[test]
+fn classes_keep_their_numbers_by_meaning() {
+    let (old, names) = told(&[("watch", "pure"), ("book", "pure")], &[], "a");
+    // Another order, one stricter, one new.
+    let new = told(
+        &[("new", "token"), ("book", "side_effect"), ("watch", "pure")],
+        &[],
+        "a",
+    );
+    let (now, now_names, numbers) = retune((&old, &names), new).unwrap();
+    assert_eq!(numbers, [2, 3, 0]);
+    assert_eq!(now_names.class("watch"), Some(0));
+    assert_eq!(now_names.class("book"), Some(3));
+    assert_eq!(now.classes[1].effect, Effect::Safe);
+    assert_eq!(now.classes[3].effect, Effect::Unsafe);
+    // One vanishes; what comes back as it was gets its old number.
+    let new = told(&[("book", "pure"), ("new", "token")], &[], "a");
+    let (last, last_names, numbers) = retune((&now, &now_names), new).unwrap();
+    assert_eq!(numbers, [1, 2]);
+    assert_eq!(last_names.class("watch"), None);
+    assert_eq!(last_names.class("book"), Some(1));
+    assert_eq!(last.classes.len(), 4);
+}
+
+#[test]
+fn tenants_and_zones_keep_their_numbers_by_name() {
+    let (old, names) = told(&[], &[("t1", "5"), ("t2", "6")], "a,b");
+    let new = told(&[], &[("t3", "7"), ("t2", "8")], "c,b,a");
+    let (now, names, _) = retune((&old, &names), new).unwrap();
+    assert_eq!(names.tenant(Some("t1")), None);
+    assert_eq!(names.tenant(Some("t2")), Some(1));
+    assert_eq!(names.tenant(Some("t3")), Some(2));
+    assert_eq!(now.tenants[1].quota, Some(8.0));
+    assert_eq!(now.zone, Some(0));
+    assert_eq!(now.zones, 3);
+}
+
+/// A file that changes its classes without end would fill the books.
+#[test]
+fn numbers_are_bounded() {
+    let (mut now, mut names) = told(&[("c", "pure")], &[], "a");
+    for at in 1.. {
+        let name = format!("c{at}");
+        match retune((&now, &names), told(&[(&name, "pure")], &[], "a")) {
+            Ok((next, next_names, _)) => (now, names) = (next, next_names),
+            Err(error) => {
+                assert!(error.contains("request-classes"), "{error}");
+                assert_eq!(at, NUMBERS);
+                return;
+            }
+        }
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -365,6 +365,7 @@
             Notice::Settings(settings, names) => {
                 self.names = names;
                 self.handle(Event::Settings(settings));
+                self.tell_all_again();
             }
             // Nobody may wait for the answer any more.
             Notice::Operator(change, binding, reply) => {
@@ -434,6 +435,19 @@
         }
     }
 
+    /// Tells the module of all servers anew: words of the list may have got a number.
+    fn tell_all_again(&mut self) {
+        let told = self.told.iter().filter_map(|(server, row)| {
+            Some(Listed {
+                uid: self.addresses.get(server)?.0.clone(),
+                endpoint: None,
+                row: row.clone(),
+            })
+        });
+        let rows = told.collect();
+        self.list(ListKind::Update, rows);
+    }
+
     /// Puts the operators' word over what a list says.
     fn ruled(&self, uid: &str, row: &mut Row) {
         if self.bans.is_out(uid) && matches!(row.status, Status::Up | Status::Suspected) {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -229,6 +229,18 @@
         self.moved.contains(&id)
     }
 
+    /// Its attempt ends so, and the module goes on.
+    pub fn attempt_ended(&mut self, id: RequestId, outcome: Outcome) {
+        self.hear(id);
+        self.take(Notice::Ended(Ended {
+            id,
+            server: self.out[&id],
+            outcome,
+            last: false,
+            report: Report::default(),
+        }));
+    }
+
     pub fn up(&mut self, id: RequestId) {
         let server = self.out[&id];
         self.take(Notice::Up(id, server));
--- a/crates/engine/tests/service.rs
+++ b/crates/engine/tests/service.rs
@@ -7,6 +7,7 @@
 
 use common::{Plain, row};
 use violetwind_balancer::api::*;
+use violetwind_common::Names;
 use violetwind_engine::{Notice, Order, Reply};
 use violetwind_service::Change;
 
@@ -170,3 +171,27 @@
     assert_eq!(world.say(Change::Join), Reply::Ending);
     assert!(matches!(world.say(back("a")), Reply::Changed(_)));
 }
+
+/// A class that gets a stricter effect: what was taken as harmless to repeat still is, what comes under the
+/// new settings is not; classes and attempts change with the settings, and numbers never do.
+#[test]
+fn connections_keep_the_class_they_were_taken_with() {
+    let mut world = Plain::new(&["a", "b", "c"]);
+    let old = world.request(0);
+    world.order(old);
+    let mut new = common::settings();
+    new.classes = vec![common::class(Effect::Safe), common::class(Effect::Unsafe)];
+    new.max_attempts = 2;
+    world.take(Notice::Settings(Box::new(new), Names::default()));
+    let strict = world.request(1);
+    world.order(strict);
+    // The server's answer is lost: the strict one may have run, and is not tried again.
+    for id in [old, strict] {
+        world.attempt_ended(id, Outcome::Reset);
+    }
+    assert!(matches!(world.last(old), Some(Order::Send { .. })));
+    assert!(matches!(world.last(strict), Some(Order::Fail)));
+    // Two attempts are all there is now, also for what came before.
+    world.attempt_ended(old, Outcome::Reset);
+    assert!(matches!(world.last(old), Some(Order::Refuse(_))));
+}
--- a/crates/proxy/src/admit.rs
+++ b/crates/proxy/src/admit.rs
@@ -93,7 +93,7 @@
 /// The module's request behind a client's line. What no usual client sends stops here: servers would
 /// turn it away one after the other, and to the module that looks as if they all failed.
 fn read(client: &Client, open: &Open, shared: &Shared) -> Result<(Request, OpenId), &'static str> {
-    let (config, limits) = (&shared.config, &shared.limits);
+    let (config, limits) = (shared.config.get(), &shared.limits);
     if !client.ring.is_empty() {
         return Err("a client sends on before it is up");
     }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,17 +1,37 @@
 //! What the environment and the configuration file tell a proxy at its start, and at a reload.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::env;
 use std::fs::File;
 use std::io::Read;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use serde_json::Value;
 use violetwind_balancer::api::{Secs, Settings};
-use violetwind_common::{Facts, Names, settings};
+use violetwind_common::{Facts, Names, retune, settings};
 
 use crate::limits::Limits;
 
+/// The configuration in force: a reload puts another in its place.
+#[derive(Clone, Debug)]
+pub struct InForce(Rc<RefCell<Rc<Config>>>);
+
+impl InForce {
+    pub fn new(config: Rc<Config>) -> Self {
+        Self(Rc::new(RefCell::new(config)))
+    }
+
+    pub fn get(&self) -> Rc<Config> {
+        self.0.borrow().clone()
+    }
+
+    pub fn set(&self, config: Rc<Config>) {
+        self.0.replace(config);
+    }
+}
+
 #[derive(Debug)]
 pub struct Config {
     pub name: String,
@@ -35,6 +55,21 @@
     pub tells_delay: bool,
 }
 
+/// Settings that limits and sockets were made by at the start.
+const FIXED: [(&str, &str); 5] = [
+    ("/reporting", "settings.reporting"),
+    ("/fleet-size", "settings.fleet-size"),
+    (
+        "/permissions/connect-timeout-s",
+        "settings.permissions.connect-timeout-s",
+    ),
+    ("/rules/ask-within-s", "settings.rules.ask-within-s"),
+    (
+        "/family-info/tells-delay",
+        "settings.family-info.tells-delay",
+    ),
+];
+
 /// Where servers tell their load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reports {
@@ -96,9 +131,27 @@
         Self::read(variable)
     }
 
-    /// Reads the file anew. Its address of discovery is newer than the variable of the start.
-    pub fn again() -> Result<Self, String> {
-        Self::read(|name| variable(name).filter(|_| name != "NODE_DISCOVERY"))
+    /// Reads the file anew, to take the place of this configuration: whole or not at all. Its address of
+    /// discovery is newer than the variable of the start.
+    pub fn again(&self) -> Result<Self, String> {
+        let new = Self::read(|name| variable(name).filter(|_| name != "NODE_DISCOVERY"))?;
+        self.followed_by(new)
+    }
+
+    /// Another configuration with this one's numbers.
+    fn followed_by(&self, mut new: Self) -> Result<Self, String> {
+        if let Some(key) = lacks(&self.file, &new.file, "") {
+            return Err(format!("`{key}` is missing"));
+        }
+        let told = (new.settings.clone(), new.names.clone());
+        let (settings, names, numbers) = retune((&self.settings, &self.names), told)?;
+        let mut deadlines = self.deadlines.clone();
+        deadlines.resize(settings.classes.len(), self.longest_deadline);
+        for (at, number) in numbers.into_iter().enumerate() {
+            deadlines[number] = new.deadlines[at];
+        }
+        (new.settings, new.names, new.deadlines) = (settings, names, deadlines);
+        Ok(new)
     }
 
     fn read(over: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
@@ -119,6 +172,11 @@
         classes.into_iter().flatten().map(name).collect()
     }
 
+    /// Whether another file tells the module the same.
+    pub fn same_settings(&self, other: &Self) -> bool {
+        self.file["settings"] == other.file["settings"]
+    }
+
     /// The parts of another file that differ and that only a restart takes up. The seed and the
     /// known list are for a start alone, and discovery is what a reload is for.
     pub fn restart_needed<'a>(&'a self, other: &'a Self) -> Vec<&'a str> {
@@ -130,8 +188,15 @@
         names.sort_unstable();
         names.dedup();
         names.retain(|name| {
-            !["discovery", "known", "seed"].contains(name) && self.file[*name] != other.file[*name]
+            !["discovery", "known", "seed", "settings"].contains(name)
+                && self.file[*name] != other.file[*name]
         });
+        let settings =
+            |config: &'a Self, path: &str| config.file["settings"].pointer(path).cloned();
+        let fixed = FIXED
+            .iter()
+            .filter(|(path, _)| settings(self, path) != settings(other, path));
+        names.extend(fixed.map(|(_, name)| *name));
         names
     }
 
@@ -160,6 +225,7 @@
         if !json["settings"].is_object() {
             return Err("expected the object `settings`".into());
         }
+        above_zero(&json["settings"])?;
         let mut flat = Flat::default();
         flat.add("", &json["settings"]);
         let (settings, names) = settings(&flat).map_err(|error| format!("settings: {error}"))?;
@@ -193,6 +259,69 @@
     }
 }
 
+/// Deadlines and numbers of attempts that are none would serve nobody, or for ever.
+fn above_zero(settings: &Value) -> Result<(), String> {
+    let expected = |key: &str, value: &Value, kind: &str| {
+        format!("settings.{key}: `{value}`: expected {kind} above 0")
+    };
+    let attempts = &settings["permissions"]["max-attempts"];
+    if !attempts.is_null() && attempts.as_u64().is_none_or(|count| count == 0) {
+        return Err(expected(
+            "permissions.max-attempts",
+            attempts,
+            "a whole number",
+        ));
+    }
+    let classes = settings["request-classes"].as_array();
+    for (at, class) in classes.into_iter().flatten().enumerate() {
+        let deadline = &class["deadline-s"];
+        let sound = deadline
+            .as_f64()
+            .is_some_and(|secs| secs > 0.0 && secs.is_finite());
+        if !deadline.is_null() && !sound {
+            let key = format!("request-classes.{at}.deadline-s");
+            return Err(expected(&key, deadline, "a number"));
+        }
+    }
+    Ok(())
+}
+
+/// The first key that `old` has and `new` lacks, by its path. What a list holds may come and go, but each
+/// item has the keys that all items had.
+fn lacks(old: &Value, new: &Value, path: &str) -> Option<String> {
+    let below = |key: &str| match path {
+        "" => key.to_string(),
+        _ => format!("{path}.{key}"),
+    };
+    match (old, new) {
+        (Value::Object(old), new) => old.iter().find_map(|(key, value)| match new.get(key) {
+            None | Some(Value::Null) if !value.is_null() => Some(below(key)),
+            // The list of the last run is for a start alone.
+            Some(_) if path.is_empty() && key == "known" => None,
+            Some(new) => lacks(value, new, &below(key)),
+            None => None,
+        }),
+        (Value::Array(old), Value::Array(new)) if old.iter().all(Value::is_object) => {
+            let mut items = old.iter().filter_map(Value::as_object);
+            let first = items.next()?;
+            let keys: Vec<&String> = first.keys().collect();
+            let others: Vec<_> = items.collect();
+            let common = keys
+                .into_iter()
+                .filter(|key| others.iter().all(|o| o.contains_key(*key)));
+            let common: Vec<&String> = common.collect();
+            new.iter().enumerate().find_map(|(at, item)| {
+                let missing = common
+                    .iter()
+                    .find(|key| item.get(key).is_none_or(Value::is_null))?;
+                Some(below(&format!("{at}.{missing}")))
+            })
+        }
+        (Value::Array(_), new) if !new.is_array() => Some(path.to_string()),
+        _ => None,
+    }
+}
+
 /// A variable of the environment; an empty one says nothing.
 fn variable(name: &str) -> Option<String> {
     env::var(name).ok().filter(|value| !value.is_empty())
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -26,6 +26,7 @@
 use violetwind_service::Bans;
 use violetwind_service::handover::{Message, Messages, State, frame};
 
+use crate::config::InForce;
 use crate::first_lines::FirstLines;
 use crate::limits::{Descriptors, Limits, Term};
 use crate::service::{self, Forward, Service, Stand};
@@ -128,6 +129,7 @@
     pub first_lines: FirstLines,
     /// Whether clients are accepted here.
     pub accepting: watch::Sender<bool>,
+    pub config: InForce,
 }
 
 impl Elder {
@@ -162,7 +164,7 @@
 }
 
 /// Waits for successors, one at a time, for as long as the process runs.
-pub async fn offer(dir: PathBuf, listener: Rc<TcpListener>, term: Term, side: Rc<Side>) {
+pub async fn offer(dir: PathBuf, listener: Rc<TcpListener>, side: Rc<Side>) {
     let path = socket(&dir);
     // What an earlier process left there is replaced in one step.
     let own = dir.join(format!("violetwind.sock.{}", std::process::id()));
@@ -188,7 +190,7 @@
                 continue;
             }
         };
-        let ended = hand_over(Link::new(stream), &listener, &term, &side).await;
+        let ended = hand_over(Link::new(stream), &listener, &side).await;
         if side.service.stand() == Stand::Succeeded {
             warn!(
                 ?ended,
@@ -203,12 +205,7 @@
     }
 }
 
-async fn hand_over(
-    mut link: Link,
-    listener: &TcpListener,
-    term: &Term,
-    side: &Side,
-) -> io::Result<()> {
+async fn hand_over(mut link: Link, listener: &TcpListener, side: &Side) -> io::Result<()> {
     let limits = &side.limits;
     let late = |_| io::Error::other("it does not say what it wants");
     let hello = timeout(limits.hand_over, link.message(limits)).await;
@@ -245,7 +242,8 @@
     if side.service.stand() != Stand::Ending {
         side.service.set_stand(Stand::Succeeded);
     }
-    let moves = Notice::Succeeded(Some(term.succeeded.clone()));
+    let term = Term::new(side.config.get().longest_deadline);
+    let moves = Notice::Succeeded(Some(term.succeeded));
     let _ = side.engine.send(moves).await;
     link.write(&Message::Stopped, limits).await?;
     link.changes = Some(changes);
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -45,11 +45,11 @@
 use violetwind_record::Recorder;
 
 use crate::cli::{Cli, Wanted};
-use crate::config::{Config, Reports};
+use crate::config::{Config, InForce, Reports};
 use crate::discovery::Tells;
 use crate::first_lines::FirstLines;
 use crate::handover::{Before, Side};
-use crate::limits::{Descriptors, Limits, Term};
+use crate::limits::{Descriptors, Limits};
 use crate::operator::{Layers, Operator};
 use crate::probe::Probes;
 use crate::recording::Recording;
@@ -116,10 +116,20 @@
 
 async fn serve(config: Rc<Config>, operator: Rc<Operator>, layers: Layers) -> io::Result<()> {
     // First of all: a signal that nobody catches kills the program.
-    let (reload, reloaded) = Reload::new(config.clone(), operator.clone(), layers)?;
+    let hangups = reload::signals()?;
     let mut limits = Limits::new(&*config);
     operator.limit(&mut limits);
     let limits = Rc::new(limits);
+    let (notices, inbox) = mpsc::channel(limits.engine.notices);
+    let in_force = InForce::new(config.clone());
+    let engine_too = notices.clone();
+    let (reload, reloaded) = Reload::new(
+        hangups,
+        in_force.clone(),
+        operator.clone(),
+        layers,
+        engine_too,
+    );
     let requests = Descriptors::new(limits.descriptors);
     let first_lines = FirstLines::new(&limits, limits.first_lines);
     // What outlives this process in an upgrade; without an address for operators there is none.
@@ -139,7 +149,6 @@
     }
     info!(name = config.name, listen = %config.listen, memory_mb = config.memory_mb,
         descriptors = limits.descriptors, first_lines = limits.first_lines, "start");
-    let (notices, inbox) = mpsc::channel(limits.engine.notices);
     let settings = config.settings.clone();
     let reports = config.reports != Reports::Nowhere && !settings.report_fields.is_empty();
     let weighed = !operator.sources.is_empty();
@@ -189,7 +198,7 @@
     );
     let engine_too = notices.clone();
     let shared = Shared::new(
-        &config,
+        &in_force,
         &limits,
         descriptors,
         engine_too,
@@ -232,6 +241,7 @@
         requests: requests.clone(),
         first_lines: first_lines.clone(),
         accepting,
+        config: in_force.clone(),
     });
     if let Some(elder) = before.elder {
         // Without discovery's own list in time the last known one must do, as at any start.
@@ -243,10 +253,9 @@
     tokio::task::spawn_local(take_in::accept(listener.clone(), is_accepting, shared));
     service.set_stand(Stand::Serving);
     if let Some(dir) = dir {
-        let term = Term::new(config.longest_deadline);
-        tokio::task::spawn_local(handover::offer(dir, listener, term, side));
+        tokio::task::spawn_local(handover::offer(dir, listener, side));
     }
-    let longest = || config.longest_deadline;
+    let longest = || in_force.get().longest_deadline;
     let ended = shutdown::wait(limits, (requests, first_lines), notices, longest, &service);
     tokio::select! {
         ended = ended => ended,
--- a/crates/proxy/src/reload.rs
+++ b/crates/proxy/src/reload.rs
@@ -1,22 +1,30 @@
-//! SIGHUP: reads both files again. Discovery is asked where the platform's now says, and servers come
-//! from the sources that the operator's now names.
+//! SIGHUP: reads both files again. The platform's is taken whole or not at all: settings hold from then on,
+//! discovery is asked where it says; and servers come from the sources that the operator's now names.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tracing::{info, warn};
+use violetwind_engine::Notice;
 
-use crate::config::Config;
+use crate::config::{Config, InForce};
 use crate::operator::{Layers, Operator, Source};
 use crate::service::Service;
 
+/// From here on the signal is caught.
+pub fn signals() -> std::io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
 /// Serves SIGHUP for as long as the process runs, also while it shuts down.
 pub struct Reload {
     signals: Signal,
-    /// What the program runs by.
-    config: Rc<Config>,
+    /// What the program was started by, and what it runs by.
+    start: Rc<Config>,
+    config: InForce,
+    engine: mpsc::Sender<Notice>,
     operator: Rc<Operator>,
     layers: Layers,
     address: watch::Sender<SocketAddr>,
@@ -30,23 +38,26 @@
 }
 
 impl Reload {
-    /// From here on the signal is caught.
     pub fn new(
-        config: Rc<Config>,
+        signals: Signal,
+        config: InForce,
         operator: Rc<Operator>,
         layers: Layers,
-    ) -> std::io::Result<(Self, Reloaded)> {
-        let (address, discovery) = watch::channel(config.discovery);
+        engine: mpsc::Sender<Notice>,
+    ) -> (Self, Reloaded) {
+        let (address, discovery) = watch::channel(config.get().discovery);
         let (tell, sources) = watch::channel(Rc::new(operator.sources.clone()));
         let reload = Self {
-            signals: signal(SignalKind::hangup())?,
+            signals,
+            start: config.get(),
             config,
+            engine,
             operator,
             layers,
             address,
             sources: tell,
         };
-        Ok((reload, Reloaded { discovery, sources }))
+        (reload, Reloaded { discovery, sources })
     }
 
     /// Where discovery was moved to before this process started.
@@ -57,27 +68,37 @@
     /// Signals that come in a row count as one: what counts is what the files say last.
     pub async fn run(mut self, service: Rc<Service>) {
         while self.signals.recv().await.is_some() {
-            self.platform(&service);
+            self.platform(&service).await;
             self.operators();
         }
     }
 
-    fn platform(&self, service: &Service) {
-        let new = match Config::again() {
-            Ok(new) => new,
+    /// What the module is told goes first: a request under a new class must not come before it.
+    async fn platform(&self, service: &Service) {
+        let old = self.config.get();
+        let new = match old.again() {
+            Ok(new) => Rc::new(new),
             Err(error) => return warn!(%error, "reload: the configuration stays as it was"),
         };
-        let restart = self.config.restart_needed(&new);
+        let restart = self.start.restart_needed(&new);
         if !restart.is_empty() {
             warn!(?restart, "reload: these changes need a restart");
         }
+        let settings = old.same_settings(&new);
+        if !settings {
+            let notice = Notice::Settings(Box::new(new.settings.clone()), new.names.clone());
+            if self.engine.send(notice).await.is_err() {
+                return;
+            }
+        }
         let moved = self
             .address
             .send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
         if moved {
             service.set_moved_discovery(new.discovery);
         }
-        info!(discovery = %new.discovery, moved, "reload");
+        info!(discovery = %new.discovery, moved, settings = !settings, "reload");
+        self.config.set(new);
     }
 
     fn operators(&self) {
--- a/crates/proxy/src/take_in.rs
+++ b/crates/proxy/src/take_in.rs
@@ -11,7 +11,7 @@
 use tracing::{debug, info};
 
 use crate::admit::{self, OpenIds};
-use crate::config::Config;
+use crate::config::InForce;
 use crate::first_lines::{FirstLines, Place};
 use crate::limits::{Descriptors, Limits};
 use crate::line::{self, First};
@@ -25,7 +25,7 @@
 /// What all connections share.
 #[derive(Debug)]
 pub struct Shared {
-    pub config: Rc<Config>,
+    pub config: InForce,
     pub limits: Rc<Limits>,
     pub requests: Descriptors,
     first_lines: FirstLines,
@@ -43,7 +43,7 @@
 
 impl Shared {
     pub fn new(
-        config: &Rc<Config>,
+        config: &InForce,
         limits: &Rc<Limits>,
         (requests, first_lines): (Descriptors, FirstLines),
         engine: mpsc::Sender<Notice>,
@@ -58,7 +58,7 @@
             first_lines,
             open_ids: OpenIds::default(),
             repeats: Repeats::new(limits.log_lines, limits.log_span),
-            notes: Rc::new(RefCell::new(Notes::new(config.tells_delay))),
+            notes: Rc::new(RefCell::new(Notes::new(config.get().tells_delay))),
             recording,
             engine,
             ready,
--- a/crates/proxy/tests/reload.rs
+++ b/crates/proxy/tests/reload.rs
@@ -203,3 +203,117 @@
     assert_eq!(client.end(), End::Closed);
     assert!(proxy.ended().success());
 }
+
+fn class(name: &str, effect: &str) -> Value {
+    json!({"name": name, "idempotency": effect, "deadline-s": 2.0, "target-s": 0.4, "credit": 1.0})
+}
+
+/// A class that appears is served within 1.2 s, one that vanishes is none, and connections go on.
+#[test]
+fn classes_appear_and_vanish_while_connections_go_on() {
+    let (server, _discovery, proxy) = one_server();
+    let (mut client, mut conn) = proxy.up(&server);
+    assert_eq!(proxy.open("new").hear(), "ERR");
+    let at = Instant::now();
+    proxy.reload(|config| {
+        let classes = json!([class("new", "side_effect"), class("book", "side_effect")]);
+        config["settings"]["request-classes"] = classes;
+    });
+    let mut new = loop {
+        let mut new = proxy.open("new");
+        if let Some((_, mut conn)) = server.opened_or(|| !new.quiet_for(Duration::from_millis(1))) {
+            conn.say("UP 1");
+            assert_eq!(new.hear(), "UP 1");
+            break (new, conn);
+        }
+        assert!(at.elapsed() < Duration::from_millis(1200));
+    };
+    assert_eq!(proxy.open("watch").hear(), "ERR");
+    for (client, conn) in [(&mut client, &mut conn), (&mut new.0, &mut new.1)] {
+        client.say("SAY on");
+        assert_eq!(conn.hear(), "SAY on");
+        conn.say("OK on");
+        assert_eq!(client.hear(), "OK on");
+    }
+}
+
+/// Whole or not at all: with a key missing, or a figure that is none, the address of discovery in the same
+/// file must not be taken either, and the log says which key it was.
+#[test]
+fn a_file_with_one_fault_is_turned_down_whole() {
+    let (server, other, old, new, proxy) = two_discoveries();
+    let good: Value = serde_json::from_str(&proxy.config_text()).unwrap();
+    let deadline = "/settings/request-classes/1/deadline-s";
+    let attempts = "/settings/permissions/max-attempts";
+    let faults = [
+        (deadline, Some(json!(0))),
+        (deadline, Some(json!(-1.5))),
+        (deadline, Some(json!("2.0"))),
+        (deadline, None),
+        (attempts, Some(json!(0))),
+        (attempts, Some(json!(1.5))),
+        (attempts, Some(json!("many"))),
+        (attempts, None),
+        ("/settings/rules/cold-s", None),
+        ("/settings/request-classes", None),
+        ("/settings", None),
+        ("/limits/memory_mb", None),
+        ("/discovery", None),
+    ];
+    for (number, (path, value)) in faults.into_iter().enumerate() {
+        let mut config = good.clone();
+        config["discovery"] = json!(new.addr.to_string());
+        let (parent, key) = path.rsplit_once('/').unwrap();
+        let parent = config.pointer_mut(parent).unwrap();
+        match value {
+            Some(value) => parent[key] = value,
+            None => drop(parent.as_object_mut().unwrap().remove(key)),
+        }
+        proxy.reload_text(&config.to_string());
+        let until = Instant::now() + Duration::from_secs(5);
+        let told = || -> Vec<String> {
+            let log = proxy.log();
+            let lines = log.lines().filter(|line| line.contains("stays as it was"));
+            lines.map(str::to_string).collect()
+        };
+        while told().len() <= number {
+            assert!(Instant::now() < until, "{path}:\n{}", proxy.log());
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        assert!(told()[number].contains(key), "{path}: {}", told()[number]);
+    }
+    proxy.up(&server);
+    assert!(new.calls(0).is_empty());
+    assert!(old.calls(1).len() > 1);
+    // Good again after bad: all of it holds.
+    proxy.reload(to(new.addr));
+    new.calls(1);
+    let mut client = proxy.open("watch");
+    other.opened().1.say("UP 2");
+    assert_eq!(client.hear(), "UP 2");
+}
+
+/// Fewer attempts, from the next one on.
+#[test]
+fn fewer_attempts_hold_at_once() {
+    let servers = ["s-1", "s-2", "s-3"].map(Server::start);
+    let targets = servers.each_ref().map(|s| s.target("ready"));
+    let discovery = Discovery::start(&targets);
+    let proxy = Proxy::start_roomy(&discovery);
+    proxy.reload(|config| config["settings"]["permissions"]["max-attempts"] = json!(1));
+    proxy.logged("settings=true");
+    let mut client = proxy.open("watch");
+    let until = Instant::now() + Duration::from_secs(5);
+    let mut conn = loop {
+        assert!(Instant::now() < until);
+        let mut opened = servers
+            .iter()
+            .filter_map(|server| server.opened_or(|| true));
+        if let Some((_, conn)) = opened.next() {
+            break conn;
+        }
+    };
+    conn.say("ERR");
+    assert!(client.hear().starts_with("BUSY"));
+    assert!(servers.iter().all(Server::nothing_opened));
+}
