A successor takes over the connections that are up, between two lines; nobody is moved

After the listener the old process offers each connection that is up: both sockets, the client's first line, its server, its load as last told, how long a line waits. The successor checks the line as if it had come to it, holds the sockets without touching them, and serves them only with a second word, so that at any moment one process relays and the other's end leaves the connection where it was. A relay gives up only between two lines with nothing held; the rest is moved as before, from a third of the deadline on. The module of the new process hears of each as of one that stood before its start: its books are full at once. Rejected: all clients moved over the time there is, as it was until now.

The new module had no connection, no learned size and no group's place: moved one by one, the clients of one server's group were placed on three others while that server's figure still counted them.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -94,6 +94,8 @@
     taking: Taking,
     next_stage: Option<Instant>,
     ending: bool,
+    /// A successor serves.
+    succeeded: bool,
     on_server: HashMap<ServerId, BTreeSet<RequestId>>,
     draining: BTreeMap<ServerId, Spread>,
     leaving: Option<Spread>,
@@ -124,6 +126,7 @@
             taking: Taking::All,
             next_stage: None,
             ending: false,
+            succeeded: false,
             on_server: HashMap::new(),
             draining: BTreeMap::new(),
             leaving: None,
@@ -307,6 +310,20 @@
                 self.up(request.id, server);
                 self.handle(Event::Open(request, server));
             }
+            Notice::Adopted(request, server, orders) => {
+                let id = request.id;
+                let mut conn = Conn::new(orders);
+                let address = self.addresses.get(&server);
+                conn.at = address.map(|(_, endpoint)| *endpoint);
+                let known = address.is_some();
+                self.conns.insert(id, conn);
+                self.up(id, server);
+                self.handle(Event::Open(request, server));
+                if !known {
+                    // No list of this process has named its server.
+                    self.order(id, Order::Move);
+                }
+            }
             Notice::Up(id, server) => {
                 self.up(id, server);
                 self.handle(Event::Begun(id, server));
@@ -354,10 +371,19 @@
                 info!(connections, "shutdown: clients are moved");
             }
             Notice::Succeeded(Some(within)) => {
+                self.succeeded = true;
                 let connections = self.leave_within(within);
-                info!(connections, "a successor serves: clients are moved");
+                info!(
+                    connections,
+                    "a successor serves: connections are handed over"
+                );
+                let up: Vec<RequestId> = self.on_server.values().flatten().copied().collect();
+                for id in up {
+                    self.order(id, Order::HandOver);
+                }
             }
             Notice::Succeeded(None) => {
+                self.succeeded = false;
                 if !self.ending && self.left_at.is_none() {
                     self.leaving = None;
                 }
@@ -516,6 +542,9 @@
             conn.out = None;
             conn.on = Some(server);
             self.on_server.entry(server).or_default().insert(id);
+            if self.succeeded {
+                let _ = conn.orders.try_send(Order::HandOver);
+            }
             if let Some(leaving) = &mut self.leaving {
                 leaving.left.push(id);
                 self.next_spread = Some(self.now);
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -37,6 +37,8 @@
     /// One that stood at this server before the start, and the word that it is up there again.
     Standing(RequestId, String, mpsc::Sender<Order>),
     Stands(Request, ServerId),
+    /// A connection that is up there, and was another process's until now.
+    Adopted(Request, ServerId, mpsc::Sender<Order>),
     Up(RequestId, ServerId),
     Ended(Ended),
     Gone(RequestId),
@@ -95,5 +97,7 @@
     Refuse(Option<Secs>),
     Fail,
     Move,
+    /// A successor serves: it gets the connection, if that is between lines.
+    HandOver,
     Cancel,
 }
--- a/crates/engine/tests/service.rs
+++ b/crates/engine/tests/service.rs
@@ -195,3 +195,39 @@
     world.attempt_ended(old, Outcome::Reset);
     assert!(matches!(world.last(old), Some(Order::Refuse(_))));
 }
+
+/// With a successor all that is up is handed over, what comes up later too, and what is left is moved in
+/// time. Without it again, the rest stays.
+#[test]
+fn connections_are_handed_to_a_successor_and_the_rest_is_moved() {
+    let mut world = Plain::new(&["a"]);
+    let up = world.open();
+    world.up(up);
+    let waits = world.open();
+    world.take(Notice::Succeeded(Some(ms(600)..ms(2000))));
+    assert!(matches!(world.order(up), Some(Order::HandOver)));
+    world.up(waits);
+    assert!(matches!(world.order(waits), Some(Order::HandOver)));
+    world.run(ms(500));
+    assert!(!world.is_moved(up) && !world.is_moved(waits));
+    world.run(ms(1600));
+    assert!(world.is_moved(up) && world.is_moved(waits));
+    world.take(Notice::Succeeded(None));
+    let again = world.open();
+    world.up(again);
+    world.run(ms(3000));
+    assert!(world.order(again).is_none());
+}
+
+/// A connection that was another process's: it counts on its server, moves when that drains, and at once
+/// where no list has named the server.
+#[test]
+fn an_adopted_connection_is_in_the_books() {
+    let mut world = Plain::new(&["a"]);
+    let (known, stray) = (world.adopt("a"), world.adopt("nobody"));
+    assert!(matches!(world.order(stray), Some(Order::Move)));
+    assert!(world.order(known).is_none());
+    world.list(ListKind::Update, vec![row("a", Status::Draining, None)]);
+    world.run(ms(1600));
+    assert!(world.is_moved(known));
+}
--- a/crates/proxy/src/admit.rs
+++ b/crates/proxy/src/admit.rs
@@ -57,7 +57,12 @@
 }
 
 pub async fn admit(mut client: Client, open: &Open<'_>, shared: &Rc<Shared>) {
-    let (request, id) = match read(&client, open, shared) {
+    // What no usual client sends stops here.
+    let read = match client.ring.is_empty() {
+        true => understand(open, shared),
+        false => Err("a client sends on before it is up"),
+    };
+    let (request, id) = match read {
         Ok(read) => read,
         Err(error) => {
             if let Some(left_out) = shared.repeats.next() {
@@ -92,11 +97,8 @@
 
 /// The module's request behind a client's line. What no usual client sends stops here: servers would
 /// turn it away one after the other, and to the module that looks as if they all failed.
-fn read(client: &Client, open: &Open, shared: &Shared) -> Result<(Request, OpenId), &'static str> {
+pub fn understand(open: &Open, shared: &Shared) -> Result<(Request, OpenId), &'static str> {
     let (config, limits) = (shared.config.get(), &shared.limits);
-    if !client.ring.is_empty() {
-        return Err("a client sends on before it is up");
-    }
     if let Some(fault) = open.fault(limits.fields) {
         return Err(fault);
     }
--- /dev/null
+++ b/crates/proxy/src/handover/mod.rs
@@ -0,0 +1,443 @@
+//! Upgrades: a second process of this program takes over from the first: the clients' listener, so that
+//! there is one queue and no connection in it is ever refused or reset, and then the connections that are
+//! up, one by one, so that nobody is moved. What they say to each other is `violetwind_service`'s; here is
+//! the Unix socket in the directory that both have.
+//!
+//! Without such a directory, with Unix sockets refused, or with nobody there, a process listens by itself
+//! and shares the address where another holds it (SO_REUSEPORT).
+
+mod connections;
+mod link;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::AsFd;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep_until, timeout};
+use tracing::{info, warn};
+use violetwind_engine::Notice;
+use violetwind_service::Bans;
+use violetwind_service::handover::{Message, State};
+
+use self::connections::Adopted;
+pub use self::connections::{Given, Offered};
+use self::link::Link;
+use crate::limits::{Limits, Term};
+use crate::service::{self, Forward, Stand};
+use crate::take_in::Shared;
+
+fn socket(dir: &Path) -> PathBuf {
+    dir.join("violetwind.sock")
+}
+
+/// Listens for clients; `shared` where a successor that nobody hands the listener to may do so too.
+pub fn listen(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = match at {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    if shared && let Err(error) = socket.set_reuseport(true) {
+        warn!(%error, "the clients' address can't be shared");
+    }
+    socket.bind(at)?;
+    socket.listen(1024)
+}
+
+/// What was there before this process.
+#[derive(Default)]
+pub struct Before {
+    pub bans: Bans,
+    pub left: bool,
+    /// Where discovery was moved to.
+    pub discovery: Option<SocketAddr>,
+    pub listener: Option<TcpListener>,
+    pub elder: Option<Elder>,
+}
+
+impl Before {
+    /// A process that serves, or else what one has left in the directory that both have.
+    pub async fn find(dir: Option<&Path>, listen: SocketAddr, limits: &Limits) -> Self {
+        let Some(dir) = dir else {
+            return Self::default();
+        };
+        match find(dir, listen, limits).await {
+            Some((elder, state, listener)) => Self {
+                bans: state.bans,
+                left: state.left,
+                discovery: state.discovery.and_then(|at| at.parse().ok()),
+                listener: Some(listener),
+                elder: Some(elder),
+            },
+            None => Self {
+                bans: service::kept(dir, &limits.service),
+                ..Self::default()
+            },
+        }
+    }
+}
+
+/// The process before this one, which serves still.
+pub struct Elder {
+    link: Link,
+    holds: u32,
+}
+
+/// Looks for a process that serves under this directory at this address. Whatever is not as it should be
+/// counts as nobody there.
+async fn find(
+    dir: &Path,
+    listen: SocketAddr,
+    limits: &Limits,
+) -> Option<(Elder, State, TcpListener)> {
+    let path = socket(dir);
+    let greet = async {
+        let stream = UnixStream::connect(&path).await?;
+        let mut link = Link::new(stream);
+        link.write(&Message::Hello, limits).await?;
+        let Message::State(state) = link.message(limits).await? else {
+            return Err(io::Error::other("no state came"));
+        };
+        let [listener] = (link.take_fds()).ok_or_else(|| io::Error::other("no listener came"))?;
+        let listener = std::net::TcpListener::from(listener);
+        if listener.local_addr()? != listen {
+            return Err(io::Error::other("it serves another address"));
+        }
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        let holds = state.holds;
+        Ok((Elder { link, holds }, state, listener))
+    };
+    let error = match timeout(limits.hand_over, greet).await {
+        Ok(Ok(found)) => return Some(found),
+        Ok(Err(error)) if error.kind() == io::ErrorKind::NotFound => return None,
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no answer in time".to_string(),
+    };
+    info!(error, path = %path.display(), "nobody hands over");
+    None
+}
+
+/// What both sides of an upgrade go by.
+pub struct Side {
+    pub shared: Rc<Shared>,
+    /// Whether clients are accepted here.
+    pub accepting: watch::Sender<bool>,
+}
+
+impl Elder {
+    /// Hears the earlier process from now on, and operators' words that come to it. The returned call has it
+    /// stop accepting: clients wait in the queue until this process does, so that takes no longer than a
+    /// moment, answered or not.
+    pub fn hear(self, side: Rc<Side>) -> impl AsyncFnOnce() {
+        let limits = side.shared.limits.clone();
+        let requests = side.shared.requests.clone();
+        requests.lend(self.holds as usize);
+        let (serve, serves) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel();
+        tokio::task::spawn_local(async move {
+            let role = Role::Successor {
+                serves: Some(serves),
+                stopped: Some(stop),
+            };
+            let ended = Talk::new(self.link, &side, role).run().await;
+            requests.lend(0);
+            info!(?ended, "the earlier process has gone");
+        });
+        async move || {
+            // A process that has gone needs no word, and gives no answer.
+            let _ = serve.send(());
+            match timeout(limits.stopped, stopped).await {
+                Ok(Ok(())) => info!("the earlier process has handed over"),
+                _ => warn!("the earlier process does not say that it has stopped"),
+            }
+        }
+    }
+}
+
+/// Waits for successors, one at a time, for as long as the process runs.
+pub async fn offer(dir: PathBuf, listener: Rc<TcpListener>, side: Rc<Side>) {
+    let path = socket(&dir);
+    // What an earlier process left there is replaced in one step.
+    let own = dir.join(format!("violetwind.sock.{}", std::process::id()));
+    let _ = std::fs::remove_file(&own);
+    let bound = UnixListener::bind(&own).and_then(|bound| {
+        std::fs::rename(&own, &path)?;
+        Ok(bound)
+    });
+    let offers = match bound {
+        Ok(bound) => bound,
+        Err(error) => {
+            let _ = std::fs::remove_file(&own);
+            return warn!(%error, path = %path.display(), "no successor can be handed over to");
+        }
+    };
+    info!(path = %path.display(), "successors are awaited");
+    let service = &side.shared.service;
+    loop {
+        let stream = match offers.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(%error, "accept of a successor");
+                tokio::time::sleep(side.shared.limits.hand_over).await;
+                continue;
+            }
+        };
+        let ended = hand_over(Link::new(stream), &listener, &side).await;
+        if service.stand() == Stand::Succeeded {
+            warn!(
+                ?ended,
+                "the successor has gone: clients are served here again"
+            );
+            service.set_stand(Stand::Serving);
+            side.accepting.send_replace(true);
+            let _ = side.shared.engine.send(Notice::Succeeded(None)).await;
+        } else {
+            info!(?ended, "a successor has gone");
+        }
+    }
+}
+
+async fn hand_over(mut link: Link, listener: &TcpListener, side: &Side) -> io::Result<()> {
+    let (limits, service) = (&side.shared.limits, &side.shared.service);
+    let late = |_| io::Error::other("it does not say what it wants");
+    let hello = timeout(limits.hand_over, link.message(limits)).await;
+    if hello.map_err(late)?? != Message::Hello {
+        return Err(io::Error::other("it says no hello"));
+    }
+    info!("a successor starts");
+    let role = Role::Elder {
+        serve_by: Some(Instant::now() + limits.successor),
+    };
+    // From here on it hears of changes: none falls between them and the state.
+    let mut talk = Talk::new(link, side, role);
+    let state = State {
+        bans: service.bans(),
+        left: service.left(),
+        discovery: service.moved_discovery().map(|at| at.to_string()),
+        holds: side.holds(),
+    };
+    let message = Message::State(state);
+    talk.link
+        .send(&message, &[listener.as_fd()], limits)
+        .await?;
+    talk.run().await
+}
+
+impl Side {
+    /// Descriptors in use here, what is set aside included.
+    fn holds(&self) -> u32 {
+        let limits = &self.shared.limits;
+        let aside = limits.reserve + limits.probe_descriptors;
+        (self.shared.requests.in_use() + self.shared.first_lines.held() + aside) as u32
+    }
+
+    /// A successor serves from now on.
+    async fn succeeded(&self) {
+        let service = &self.shared.service;
+        self.accepting.send_replace(false);
+        if service.stand() != Stand::Ending {
+            service.set_stand(Stand::Succeeded);
+        }
+        let term = Term::new(self.shared.config.get().longest_deadline);
+        let moves = Notice::Succeeded(Some(term.succeeded));
+        let _ = self.shared.engine.send(moves).await;
+    }
+}
+
+/// Which of the two this process is, and what it waits for.
+enum Role {
+    /// The successor has to serve by then, or all stays as it was.
+    Elder { serve_by: Option<Instant> },
+    Successor {
+        serves: Option<oneshot::Receiver<()>>,
+        stopped: Option<oneshot::Sender<()>>,
+    },
+}
+
+/// All that goes both ways until either side ends.
+struct Talk<'a> {
+    link: Link,
+    side: &'a Side,
+    role: Role,
+    /// Operators' words that this process was told, by the number of this way among others'.
+    id: u64,
+    changes: mpsc::Receiver<Forward>,
+    waiting: BTreeMap<u32, oneshot::Sender<()>>,
+    /// Connections that relays here give up, those that are on their way, and those that have come.
+    given: mpsc::Receiver<Given>,
+    offered: BTreeMap<u32, Offered>,
+    adopted: BTreeMap<u32, Adopted>,
+    number: u32,
+    told: Option<u32>,
+    /// Connections that were taken over since the log told of them.
+    taken: usize,
+}
+
+impl Drop for Talk<'_> {
+    fn drop(&mut self) {
+        self.side.shared.service.remove_other(self.id);
+        self.side.shared.service.set_heir(None);
+    }
+}
+
+impl<'a> Talk<'a> {
+    fn new(link: Link, side: &'a Side, role: Role) -> Self {
+        let limits = &side.shared.limits;
+        let (to, changes) = mpsc::channel(limits.forwards);
+        let (heir, given) = mpsc::channel(limits.connections_at_once);
+        if matches!(role, Role::Elder { .. }) {
+            side.shared.service.set_heir(Some(heir));
+        }
+        Self {
+            link,
+            side,
+            role,
+            id: side.shared.service.add_other(to),
+            changes,
+            waiting: BTreeMap::new(),
+            given,
+            offered: BTreeMap::new(),
+            adopted: BTreeMap::new(),
+            number: 0,
+            told: None,
+            taken: 0,
+        }
+    }
+
+    async fn run(mut self) -> io::Result<()> {
+        let limits = &self.side.shared.limits;
+        loop {
+            self.tell_holds().await?;
+            let tick = Instant::now() + limits.holds_tick;
+            let serves = async {
+                match &mut self.role {
+                    Role::Successor {
+                        serves: Some(serves),
+                        ..
+                    } => serves.await.is_ok(),
+                    _ => std::future::pending().await,
+                }
+            };
+            let room = self.offered.len() < limits.connections_at_once;
+            tokio::select! {
+                message = self.link.message(limits) => self.hear(message?).await?,
+                Some((change, done)) = self.changes.recv() => {
+                    self.number += 1;
+                    self.waiting.insert(self.number, done);
+                    self.link.write(&Message::Change(self.number, change), limits).await?;
+                }
+                Some(given) = self.given.recv(), if room => {
+                    self.number += 1;
+                    let message = Message::Connection(self.number, given.connection);
+                    let fds = [given.fds[0].as_fd(), given.fds[1].as_fd()];
+                    self.link.send(&message, &fds, limits).await?;
+                    self.offered.insert(self.number, given.answer);
+                }
+                serves = serves => {
+                    if let Role::Successor { serves, .. } = &mut self.role {
+                        *serves = None;
+                    }
+                    if serves {
+                        self.link.write(&Message::Serving, limits).await?;
+                    }
+                }
+                () = sleep_until(tick) => match std::mem::take(&mut self.taken) {
+                    0 => {}
+                    count => info!(count, "connections were taken over"),
+                }
+            }
+            self.waiting.retain(|_, done| !done.is_closed());
+            if let Role::Elder { serve_by: Some(by) } = self.role
+                && by <= Instant::now()
+            {
+                return Err(io::Error::other("it never serves"));
+            }
+        }
+    }
+
+    /// Lets the successor know of descriptors in use here, when their number has changed.
+    async fn tell_holds(&mut self) -> io::Result<()> {
+        if matches!(self.role, Role::Successor { .. }) {
+            return Ok(());
+        }
+        let holds = self.side.holds();
+        if self.told.replace(holds) != Some(holds) {
+            let limits = &self.side.shared.limits;
+            self.link.write(&Message::Holds(holds), limits).await?;
+        }
+        Ok(())
+    }
+
+    async fn hear(&mut self, message: Message) -> io::Result<()> {
+        let shared = &self.side.shared;
+        let limits = &shared.limits;
+        match message {
+            Message::Change(number, change) => {
+                if let Err(error) = shared.service.heed(self.id, change).await {
+                    warn!(error, "a word that the other process was told");
+                }
+                self.link.write(&Message::InForce(number), limits).await?;
+            }
+            Message::InForce(number) => {
+                if let Some(done) = self.waiting.remove(&number) {
+                    // Who asked may have stopped waiting.
+                    let _ = done.send(());
+                }
+            }
+            Message::Holds(holds) => shared.requests.lend(holds as usize),
+            Message::Serving => {
+                if let Role::Elder { serve_by } = &mut self.role {
+                    *serve_by = None;
+                    self.side.succeeded().await;
+                    self.link.write(&Message::Stopped, limits).await?;
+                }
+            }
+            Message::Stopped => {
+                if let Role::Successor { stopped, .. } = &mut self.role
+                    && let Some(stopped) = stopped.take()
+                {
+                    // Who waited may have gone on without.
+                    let _ = stopped.send(());
+                }
+            }
+            Message::Connection(number, connection) => {
+                let fds = self.link.take_fds();
+                let answer = match Adopted::take(connection, fds, shared) {
+                    Ok(adopted) => {
+                        self.adopted.insert(number, adopted);
+                        Message::Taken(number)
+                    }
+                    Err(error) => {
+                        info!(error, "a connection is not taken over");
+                        Message::NotTaken(number)
+                    }
+                };
+                self.link.write(&answer, limits).await?;
+            }
+            // Only with this word it is the successor's: until then each side may go, and the other has it.
+            Message::Taken(number) => {
+                if let Some(offered) = self.offered.remove(&number) {
+                    self.link.write(&Message::Yours(number), limits).await?;
+                    offered.given();
+                }
+            }
+            Message::NotTaken(number) => drop(self.offered.remove(&number)),
+            Message::Yours(number) => {
+                if let Some(adopted) = self.adopted.remove(&number) {
+                    adopted.serve(shared);
+                    self.taken += 1;
+                }
+            }
+            Message::Hello | Message::State(_) => {
+                return Err(io::Error::other("a message out of turn"));
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -108,6 +108,8 @@
     /// Words of operators on the way to the other process, and how often it hears of descriptors.
     pub forwards: usize,
     pub holds_tick: Duration,
+    /// Connections on the way to a successor at once; their descriptors are double for a moment.
+    pub connections_at_once: usize,
 
     pub engine: violetwind_engine::Limits,
 }
@@ -224,6 +226,7 @@
             successor_list: ms(2000),
             forwards: 16,
             holds_tick: ms(50),
+            connections_at_once: 4,
             engine: violetwind_engine::Limits {
                 notices: 1024,
                 slice: 256,
@@ -242,7 +245,7 @@
     /// All clients are moved from here to there after the signal: as late as is safe, or they come while
     /// the proxy that was restarted before is not back.
     pub moves: Range<Duration>,
-    /// The same where a successor serves already: over all the time there is.
+    /// The same where a successor serves already and has been handed what it could be.
     pub succeeded: Range<Duration>,
     /// The end, whatever is left.
     pub exit: Duration,
@@ -256,7 +259,7 @@
         let moved = secs(term.max(0.8));
         Self {
             moves: secs((0.5 * term).max(0.45))..moved,
-            succeeded: Duration::ZERO..moved,
+            succeeded: secs(0.3 * term)..moved,
             exit: secs(term + 0.45),
         }
     }
@@ -280,6 +283,15 @@
         }
     }
 
+    /// The same for what another process of this proxy holds until now, and frees for it.
+    pub fn take_over(&self, count: usize) -> Option<Permit> {
+        self.left.set(self.left.get().checked_sub(count)?);
+        Some(Permit {
+            left: self.left.clone(),
+            count,
+        })
+    }
+
     /// Leaves so many to another process from now on.
     pub fn lend(&self, count: usize) {
         self.lent.set(count);
--- a/crates/proxy/src/line.rs
+++ b/crates/proxy/src/line.rs
@@ -81,6 +81,13 @@
             .map(|(_, value)| value)
     }
 
+    /// The line itself, without its end.
+    pub fn to_line(self) -> Vec<u8> {
+        let space = if self.fields.is_empty() { "" } else { " " };
+        let line = format!("OPEN {} {}{space}{}", self.id, self.key, self.fields);
+        line.into_bytes()
+    }
+
     /// The same line with another time to wait, in milliseconds, for the next hop.
     pub fn waiting(&self, ms: u64) -> Vec<u8> {
         let mut line = format!("OPEN {} {}", self.id, self.key);
@@ -194,6 +201,11 @@
 }
 
 impl Scanner {
+    /// Whether the last byte ended a line.
+    pub fn between_lines(&self) -> bool {
+        self.len == 0
+    }
+
     /// Takes the next bytes and calls back with each line that ends in them: its head, and where
     /// among these bytes the line is over. Allocates nothing.
     pub fn feed(&mut self, bytes: &[u8], mut line: impl FnMut(&[u8], usize)) {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -235,20 +235,16 @@
     }
     let (accepting, is_accepting) = watch::channel(true);
     let side = Rc::new(Side {
-        limits: limits.clone(),
-        service: service.clone(),
-        engine: notices.clone(),
-        requests: requests.clone(),
-        first_lines: first_lines.clone(),
+        shared: shared.clone(),
         accepting,
-        config: in_force.clone(),
     });
     if let Some(elder) = before.elder {
+        let succeed = elder.hear(side.clone());
         // Without discovery's own list in time the last known one must do, as at any start.
         let mut listed = ready.subscribe();
         let _ = timeout(limits.successor_list, listed.wait_for(|listed| *listed)).await;
         ready.send_replace(true);
-        elder.succeed(side.clone()).await;
+        succeed().await;
     }
     tokio::task::spawn_local(take_in::accept(listener.clone(), is_accepting, shared));
     service.set_stand(Stand::Serving);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -2,21 +2,24 @@
 
 use std::future::pending;
 use std::io;
+use std::os::fd::AsFd;
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout};
 use tracing::{debug, info};
 use violetwind_balancer::api::{Outcome, Report, ServerId};
 
 use crate::book::Booking;
+use crate::handover::{Given, Offered};
 use crate::limits::Limits;
 use crate::line::{self, Scanner, Word};
 use crate::ring::{Ring, skip_block};
 use crate::send::Server;
-use crate::take_in::Client;
+use crate::take_in::{Client, Shared};
 use violetwind_engine::Order;
+use violetwind_service::handover::Connection;
 
 /// One direction of a connection.
 #[derive(Debug, Default)]
@@ -127,6 +130,8 @@
     ServerBroke,
     ClientBroke,
     Moved,
+    /// It stops for a successor to take it.
+    BetweenLines,
 }
 
 struct Relay<'a> {
@@ -140,28 +145,43 @@
     outcome: (Outcome, Report),
     /// The connection's load as last told, until the engine has it.
     load: Option<f64>,
+    /// The same as the server told it last.
+    told: Option<f64>,
     /// A move was ordered, and goes ahead then whatever is under way.
     move_by: Option<Instant>,
+    /// A successor gets the connection as soon as it is between lines.
+    to_heir: bool,
     limits: &'a Limits,
 }
 
+/// What a relay has heard that goes on at another process.
+#[derive(Debug, Default)]
+pub struct Heard {
+    pub load: Option<f64>,
+    pub waiting_since: Option<Instant>,
+}
+
 pub async fn relay(
     client: Client,
     server: Server,
     on: ServerId,
     mut orders: mpsc::Receiver<Order>,
     booking: Booking,
-    limits: &Limits,
+    (line, heard): (Vec<u8>, Heard),
+    shared: &Shared,
 ) {
+    let limits = &*shared.limits;
     let mut relay = Relay {
         client,
         server,
         up: Way::default(),
         down: Way::default(),
-        waiting_since: None,
+        waiting_since: heard.waiting_since,
         outcome: (Outcome::Reset, Report::default()),
         load: None,
+        told: heard.load,
         move_by: None,
+        to_heir: false,
         limits,
     };
     // What came with the first lines belongs to the connection.
@@ -172,7 +192,17 @@
     relay
         .down
         .hear(&held, 0, |head| understand(head, outcome, load));
-    let end = relay.run(on, &mut orders, &booking).await;
+    let end = loop {
+        match relay.run(on, &mut orders, &booking).await {
+            End::BetweenLines => {
+                if relay.give(&line, on, shared).await {
+                    debug!("the successor has it");
+                    return booking.gone().await;
+                }
+            }
+            end => break end,
+        }
+    };
     debug!(?end, "relay");
     let Relay {
         mut client,
@@ -192,7 +222,7 @@
             booking.gone().await;
             let _ = server.stream.set_zero_linger();
         }
-        End::Moved => {
+        End::Moved | End::BetweenLines => {
             booking
                 .ended(on, (Outcome::Cancelled, Report::default()))
                 .await;
@@ -235,6 +265,7 @@
                 Err(end) => return end,
             }
             if let Some(load) = self.load.take() {
+                self.told = Some(load);
                 match load <= self.limits.most_load {
                     true => booking.load(on, load).await,
                     false => info!(load, "a load that makes no sense is passed over"),
@@ -252,6 +283,10 @@
                     return End::ServerBroke;
                 }
             }
+            if self.to_heir && self.move_by.is_none() && self.rests() {
+                self.to_heir = false;
+                return End::BetweenLines;
+            }
             server_first |= self.down.ended && !self.up.ended;
             let (client, server) = (&mut self.client, &mut self.server);
             self.up.pass_end(&client.ring, &mut server.stream).await;
@@ -280,6 +315,7 @@
                     Some(Order::Move) => {
                         self.move_by = Some(Instant::now() + self.limits.move_wait);
                     }
+                    Some(Order::HandOver) => self.to_heir = true,
                     Some(_) => {}
                     // The engine is gone, and so is the process.
                     None => return End::ServerBroke,
@@ -299,6 +335,44 @@
         }
     }
 
+    /// Whether it is between lines both ways and nothing of it is held here.
+    fn rests(&self) -> bool {
+        let rests =
+            |way: &Way, ring: &Ring| way.scanner.between_lines() && !way.ended && ring.is_empty();
+        rests(&self.up, &self.client.ring)
+            && rests(&self.down, &self.server.ring)
+            && self.outcome.0 == Outcome::Reset
+    }
+
+    /// Offers the connection to the successor; false if that does not take it. Nothing is read meanwhile.
+    async fn give(&self, line: &[u8], on: ServerId, shared: &Shared) -> bool {
+        let Some(heir) = shared.service.heir() else {
+            return false;
+        };
+        // Descriptors are doubled only once there is room on the way.
+        let Ok(room) = heir.reserve().await else {
+            return false;
+        };
+        let double = |stream: &TcpStream| stream.as_fd().try_clone_to_owned();
+        let (Ok(client), Ok(server)) = (double(&self.client.stream), double(&self.server.stream))
+        else {
+            return false;
+        };
+        let waits = self.waiting_since.map(|since| since.elapsed().as_millis());
+        let (answer, given) = oneshot::channel();
+        room.send(Given {
+            connection: Connection {
+                line: line.to_vec(),
+                server: on,
+                load: self.told,
+                waits_ms: waits.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX)),
+            },
+            fds: [client, server],
+            answer: Offered(answer),
+        });
+        given.await.is_ok()
+    }
+
     fn pump(&mut self) -> Result<bool, End> {
         let (client, server) = (&mut self.client, &mut self.server);
         let reads = self.limits.reads;
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -10,7 +10,7 @@
 
 use crate::admit::Admitted;
 use crate::book::Booking;
-use crate::relay;
+use crate::relay::{self, Heard};
 use crate::send::{self, Attempt, Server};
 use crate::take_in::{Client, Shared};
 use violetwind_engine::{Notice, Order};
@@ -35,7 +35,17 @@
     match decide(&mut client, &admitted, shared, &booking, to, &mut orders).await {
         Answer::Taken(on, server) => {
             booking.up();
-            relay::relay(client, server, on, orders, booking, limits).await;
+            let line = admitted.open.to_line();
+            relay::relay(
+                client,
+                server,
+                on,
+                orders,
+                booking,
+                (line, Heard::default()),
+                shared,
+            )
+            .await;
         }
         Answer::Refused(wait) => {
             debug!(id, "refused");
@@ -101,7 +111,7 @@
             Some(Order::Refuse(wait)) => return Answer::Refused(wait),
             Some(Order::Fail) | None => return Answer::Failed,
             // Nothing is out that could be called off or moved.
-            Some(Order::Cancel | Order::Recall | Order::Move) => continue,
+            Some(Order::Cancel | Order::Recall | Order::Move | Order::HandOver) => continue,
             Some(Order::NotYet) => {
                 sleep(limits.standing_again).await;
                 booking.tell(ask()).await;
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -15,6 +15,7 @@
 use violetwind_service::call::Call;
 use violetwind_service::{Bans, Change, handover};
 
+use crate::handover::Given;
 use crate::limits::Limits;
 
 /// Where this process stands.
@@ -30,7 +31,6 @@
 /// What is asked of the other process of an upgrade, with the way back for its answer.
 pub type Forward = (Change, oneshot::Sender<()>);
 
-#[derive(Debug)]
 pub struct Service {
     limits: Rc<Limits>,
     engine: mpsc::Sender<Notice>,
@@ -47,6 +47,8 @@
     /// The ways to the other processes of an upgrade, by number: one, or two for a moment.
     others: RefCell<BTreeMap<u64, mpsc::Sender<Forward>>>,
     next_other: Cell<u64>,
+    /// The way for connections to a successor that serves.
+    heir: RefCell<Option<mpsc::Sender<Given>>>,
 }
 
 impl Service {
@@ -68,6 +70,7 @@
             discovery: Cell::new(discovery),
             others: RefCell::default(),
             next_other: Cell::default(),
+            heir: RefCell::default(),
         })
     }
 
@@ -96,6 +99,14 @@
         self.discovery.set(Some(at));
     }
 
+    pub fn heir(&self) -> Option<mpsc::Sender<Given>> {
+        self.heir.borrow().clone()
+    }
+
+    pub fn set_heir(&self, heir: Option<mpsc::Sender<Given>>) {
+        self.heir.replace(heir);
+    }
+
     /// Operators' words go this way too from now on.
     pub fn add_other(&self, to: mpsc::Sender<Forward>) -> u64 {
         let id = self.next_other.replace(self.next_other.get() + 1);
--- a/crates/proxy/src/take_in.rs
+++ b/crates/proxy/src/take_in.rs
@@ -23,12 +23,11 @@
 use violetwind_engine::Notice;
 
 /// What all connections share.
-#[derive(Debug)]
 pub struct Shared {
     pub config: InForce,
     pub limits: Rc<Limits>,
     pub requests: Descriptors,
-    first_lines: FirstLines,
+    pub first_lines: FirstLines,
     pub open_ids: OpenIds,
     pub repeats: Repeats,
     pub notes: Rc<RefCell<Notes>>,
--- a/crates/service/src/handover.rs
+++ b/crates/service/src/handover.rs
@@ -29,6 +29,24 @@
     /// An operator's word that binds both, and the answer that it is in force.
     Change(u32, Change),
     InForce(u32),
+    /// A connection that is up; its two sockets come with it. It is the successor's with the last word.
+    Connection(u32, Connection),
+    Taken(u32),
+    NotTaken(u32),
+    Yours(u32),
+}
+
+/// A connection between two lines, with nothing of it held in the process that offers it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Connection {
+    /// The client's first line, without its end.
+    pub line: Vec<u8>,
+    /// The number of its server.
+    pub server: u32,
+    /// The figure of its last `LOAD` line.
+    pub load: Option<f64>,
+    /// For how long a line of the client waits for the server to say anything.
+    pub waits_ms: Option<u32>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -1,6 +1,6 @@
 //! One side of a conversation in lines, for clients and for servers played by hand.
 
-use std::io::{BufRead, BufReader, ErrorKind, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -58,6 +58,13 @@
         self.try_hear().expect("a line")
     }
 
+    /// The next so many bytes.
+    pub fn hear_bytes(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        self.reader.read_exact(&mut bytes).unwrap();
+        bytes
+    }
+
     /// How the connection ends, with nothing more before that.
     pub fn end(&mut self) -> End {
         self.try_hear().expect_err("the end")
