A budget of attempts beyond each request's first, kept by construction in its window

Lines at fault: none; the settings were not read (`common::settings`) and nothing counted. Now `rules.budget-free`, `further-ratio` and `resend-span-s` reach the module, which counts what came and what it tried again in exactly that window, the present one included; what came just after its start (50 ms) counts for nothing and what was made just before it still counts, as whoever judges may see either a tick later. Without room a request is given up at once. A missing key is no budget; a negative, endless or non-numeric one is an error that names it.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -50,6 +50,15 @@
     Errors,
 }
 
+/// How many attempts beyond each request's first a balancer may make in any span of time: so many, and such
+/// a part of the requests that came to it in that span.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    pub free: f64,
+    pub ratio: f64,
+    pub span: Secs,
+}
+
 /// What the balancer is told at its start, and the only thing it may act on besides events.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -81,6 +90,7 @@
     pub price_cross_zone: f64,
     pub price_probe: f64,
     pub over_share_worth: f64,
+    pub budget: Option<Budget>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -109,7 +109,7 @@
         match event {
             Event::Servers(kind, entries) => self.on_list(kind, entries, out),
             Event::Request(request) => {
-                let id = self.state.on_request(request);
+                let id = self.state.on_request(request, &self.set);
                 if self.state.learn_after(PROBE_EVERY) {
                     self.learn_units();
                 }
@@ -233,8 +233,8 @@
     /// and silent ones, until they answer.
     fn worth_probing(&self, server: &Server) -> bool {
         let used = server.suspect || !server.own.is_empty();
-        let all = self.probe_interval(self.state.servers.len()) <= PROBE_RARELY;
-        server.up() && self.set.may_probe && (used || all)
+        let all = || self.probe_interval(self.state.servers.len()) <= PROBE_RARELY;
+        server.up() && self.set.may_probe && (used || all())
     }
 
     fn start_probing(&mut self, id: ServerId, out: &mut Vec<Action>) {
@@ -282,9 +282,12 @@
         if in_round && outcome == Outcome::Ok {
             self.relieve(id, out);
         }
-        // Requests make probes affordable, and failures needed, after the list has come.
-        for id in self.state.unprobed() {
-            self.start_probing(id, out);
+        // Requests make probes affordable after the list has come; till then all is probed that is used.
+        let (probed, all) = (self.state.probing, self.state.servers.len());
+        if probed < all && self.probe_interval(all) <= PROBE_RARELY {
+            for id in self.state.unprobed() {
+                self.start_probing(id, out);
+            }
         }
     }
 
@@ -350,6 +353,7 @@
                 server.suspect |= silent;
                 server.errors.add(now, FORGIVE, 1.0);
             });
+            self.start_probing(server, out);
         }
         if ended.last {
             self.state.forget(id);
@@ -377,6 +381,10 @@
         {
             return self.give_up(id, out);
         }
+        // Further attempts may be rationed.
+        if attempts > 0 && !self.affordable() {
+            return self.give_up(id, out);
+        }
         let Some(to) = self.choose(id) else {
             // A restarted or wholly cold fleet: a server may turn up soon. A full one is no reason.
             let open = self.state.servers.values().any(|s| self.open(s));
@@ -400,6 +408,9 @@
         );
         let conn = &self.state.conns[&id];
         let load = conn.load + self.group_load(conn, server);
+        if attempts > 0 && self.set.budget.is_some() {
+            self.state.go_further();
+        }
         self.state.join(id, to, Phase::Out(to));
         self.state.server(to, |server| {
             server.pend(now, load);
@@ -409,6 +420,12 @@
         out.push(Action::Send(id, to, left.min(aim.max(left / 2.0))));
     }
 
+    /// Whether the budget of attempts has room for one more beyond a request's first.
+    fn affordable(&mut self) -> bool {
+        let budget = self.set.budget;
+        budget.is_none_or(|budget| self.state.spare(&budget) >= 1.0)
+    }
+
     fn wait(&mut self, id: RequestId, asked: Option<ServerId>, out: &mut Vec<Action>) {
         self.waiting.insert(id, asked);
         if !std::mem::replace(&mut self.wait_timer, true) {
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -1,7 +1,7 @@
 //! What a balancer knows: servers, connections, and who holds what. Bookkeeping without decisions;
 //! those are in `policy.rs`.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::api::*;
@@ -29,6 +29,12 @@
 /// Loads told that are too few to know what is usual.
 const FEW: f64 = 16.0;
 
+/// Whoever counts a budget may see things come and go so much sooner or later.
+const SLACK: Secs = 0.05;
+
+/// Requests that a budget counts at the most: more buy no further attempts.
+const COUNTED: usize = 1 << 16;
+
 /// So long a placement is kept that no report has ended.
 const FORGOTTEN: Secs = 20.0;
 
@@ -169,6 +175,9 @@
     new_requests: Fading,
     attempts: Fading,
     first_request: Option<Secs>,
+    /// When requests came, and when attempts beyond a request's first were made, as far as a budget asks.
+    came: VecDeque<Secs>,
+    further: VecDeque<Secs>,
     /// When the balancer came to life.
     pub started: Option<Secs>,
     /// When the first request came, if nothing was held then.
@@ -198,6 +207,8 @@
             new_requests: Fading::default(),
             attempts: Fading::default(),
             first_request: None,
+            came: VecDeque::new(),
+            further: VecDeque::new(),
             started: None,
             began_empty: None,
             classes: vec![0; set.classes.len()],
@@ -302,11 +313,17 @@
         }
     }
 
-    pub fn on_request(&mut self, request: Request) -> RequestId {
+    pub fn on_request(&mut self, request: Request, set: &Settings) -> RequestId {
         if self.first_request.is_none() {
             self.first_request = Some(self.now);
             self.began_empty = (self.joined() == 0).then_some(self.now);
         }
+        if set.budget.is_some() {
+            self.came.push_back(self.now);
+            if self.came.len() > COUNTED {
+                self.came.pop_front();
+            }
+        }
         if !request.again {
             self.new_requests.add(self.now, MEMORY, 1.0);
         }
@@ -347,6 +364,24 @@
         Some(conn.tried.len() - 1)
     }
 
+    /// How many attempts beyond a request's first the budget has room for now. The span ends now: what
+    /// came just after its start counts for nothing, what was made just before it counts still.
+    pub fn spare(&mut self, budget: &Budget) -> f64 {
+        let since = self.now - budget.span;
+        while self.came.front().is_some_and(|at| *at <= since + SLACK) {
+            self.came.pop_front();
+        }
+        while self.further.front().is_some_and(|at| *at < since - SLACK) {
+            self.further.pop_front();
+        }
+        budget.free + budget.ratio * self.came.len() as f64 - self.further.len() as f64
+    }
+
+    /// An attempt is made; it is not its request's first.
+    pub fn go_further(&mut self) {
+        self.further.push_back(self.now);
+    }
+
     /// Own attempts a second: what is refused loads no server.
     pub fn placing_rate(&self) -> f64 {
         self.attempts.get(self.now, MEMORY) / self.span()
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -43,6 +43,7 @@
         price_cross_zone: 0.1,
         price_probe: 0.0,
         over_share_worth: 0.1,
+        budget: None,
     }
 }
 
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::*;
 use violetwind_balancer::api::*;
 
@@ -206,3 +208,81 @@
     }
     assert!(sends <= 6, "{sends} of 30 in 0.6 s");
 }
+
+/// A budget of attempts, by construction: at each attempt beyond a request's first, those made in the span
+/// before it, itself included, are within the free ones and the part of the requests that came in it.
+#[test]
+fn further_attempts_stay_within_their_budget() {
+    let budget = Budget {
+        free: 1.0,
+        ratio: 0.15,
+        span: 5.0,
+    };
+    for seed in 0..30 {
+        let mut set = settings();
+        set.budget = Some(budget);
+        set.max_attempts = 6;
+        let entries = (1..9).map(entry).collect();
+        let mut bench = Bench::new(set, entries, seed);
+        let mut random = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+        let mut next = move || {
+            random ^= random << 13;
+            random ^= random >> 7;
+            random ^= random << 17;
+            (random >> 11) as f64 / (1_u64 << 53) as f64
+        };
+        let (mut came, mut further): (Vec<Secs>, Vec<Secs>) = (vec![], vec![]);
+        let mut tried: BTreeMap<RequestId, usize> = BTreeMap::new();
+        let mut out: Vec<(RequestId, ServerId)> = vec![];
+        for id in 0..400 {
+            // Bursts and pauses, so that spans with many requests and with none follow each other.
+            bench.now += if next() < 0.03 {
+                6.0 * next()
+            } else {
+                0.02 * next()
+            };
+            let mut actions = bench.on(Event::Timer(1));
+            if next() < 0.8 {
+                came.push(bench.now);
+                actions.extend(bench.on(Event::Request(request(id))));
+            }
+            loop {
+                for action in &actions {
+                    if let Action::Send(id, server, _) = action {
+                        let count = tried.entry(*id).or_default();
+                        *count += 1;
+                        out.push((*id, *server));
+                        if *count > 1 {
+                            further.push(bench.now);
+                            let within = |at: &&Secs| **at > bench.now - budget.span;
+                            let made = further.iter().filter(within).count() as f64;
+                            let taken = came.iter().filter(within).count() as f64;
+                            let most = budget.free + budget.ratio * taken;
+                            assert!(made <= most + 1e-9, "seed {seed}: {made} of {most}");
+                        }
+                    }
+                }
+                // Most attempts fail, of any kind.
+                let Some((id, server)) = out.pop() else { break };
+                let outcome = match next() {
+                    part if part < 0.2 => Outcome::Error,
+                    part if part < 0.4 => Outcome::Full,
+                    part if part < 0.6 => Outcome::NotSent,
+                    part if part < 0.9 => Outcome::Reset,
+                    _ => {
+                        actions = bench.on(Event::Begun(id, server));
+                        continue;
+                    }
+                };
+                actions = bench.on(Event::Outcome(Ended {
+                    id,
+                    server,
+                    outcome,
+                    last: false,
+                    report: Report::default(),
+                }));
+            }
+        }
+        assert!(further.len() > 5, "seed {seed}: {}", further.len());
+    }
+}
--- a/crates/common/src/settings.rs
+++ b/crates/common/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of an instance, by the names that the operators give them.
 
-use violetwind_balancer::api::{Class, Effect, Scope, Settings, Tenant};
+use violetwind_balancer::api::{Budget, Class, Effect, Scope, Settings, Tenant};
 
 use crate::facts::Facts;
 use crate::report::field;
@@ -52,6 +52,23 @@
     }
 }
 
+/// The budget of attempts, where all its keys are there.
+fn budget(facts: &impl Facts) -> Result<Option<Budget>, String> {
+    let figure = |name: &str| match facts.number(name)? {
+        Some(value) if !value.is_finite() || value < 0.0 => {
+            Err(format!("{name}={value}: expected a number of 0 or more"))
+        }
+        value => Ok(value),
+    };
+    let free = figure("rules.budget-free")?;
+    let ratio = figure("rules.further-ratio")?;
+    let span = figure("rules.resend-span-s")?;
+    Ok(match (free, ratio, span) {
+        (Some(free), Some(ratio), Some(span)) => Some(Budget { free, ratio, span }),
+        _ => None,
+    })
+}
+
 /// Reads the settings; keys it does not know are passed over.
 pub fn settings(facts: &impl Facts) -> Result<(Settings, Names), String> {
     let mut names = Names {
@@ -122,6 +139,7 @@
         price_cross_zone: facts.number_or("prices.cross-zone", 0.0)?,
         price_probe: facts.number_or("prices.probe", 0.0)?,
         over_share_worth: facts.number_or("over-share-worth", 1.0)?,
+        budget: budget(facts)?,
     };
     Ok((settings, names))
 }
--- a/crates/common/tests/retune.rs
+++ b/crates/common/tests/retune.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use violetwind_balancer::api::{Effect, Settings};
+use violetwind_balancer::api::{Budget, Effect, Settings};
 use violetwind_common::{Facts, NUMBERS, Names, retune, settings};
 
 struct Told(BTreeMap<String, String>);
@@ -89,3 +89,31 @@
         }
     }
 }
+
+fn budget(given: &[(&str, &str)]) -> Result<Option<Budget>, String> {
+    let facts = given
+        .iter()
+        .map(|(key, value)| (format!("rules.{key}"), value.to_string()));
+    settings(&Told(facts.collect())).map(|(settings, _)| settings.budget)
+}
+
+/// A missing key is no budget; a figure that is none must not pass for one.
+#[test]
+fn a_budget_is_read_whole_or_told_by_its_key() {
+    let all = [
+        ("budget-free", "1"),
+        ("further-ratio", "0.15"),
+        ("resend-span-s", "5"),
+    ];
+    let (free, ratio, span) = (1.0, 0.15, 5.0);
+    assert_eq!(budget(&all), Ok(Some(Budget { free, ratio, span })));
+    assert_eq!(budget(&[]), Ok(None));
+    assert_eq!(budget(&all[1..]), Ok(None));
+    for (at, (key, _)) in all.iter().enumerate() {
+        for bad in ["-1", "many", "inf", "NaN", ""] {
+            let mut given = all;
+            given[at].1 = bad;
+            assert!(budget(&given).unwrap_err().contains(key), "{key}={bad}");
+        }
+    }
+}
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -50,6 +50,7 @@
         price_cross_zone: 0.0,
         price_probe: 0.0,
         over_share_worth: 1.0,
+        budget: None,
     }
 }
 
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -1225,5 +1225,6 @@
         price_cross_zone: 0.02,
         price_probe: 0.0,
         over_share_worth: 0.1,
+        budget: None,
     }
 }
