--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -504,22 +504,31 @@
     // Ranking.
 
     /// The lowest-ranked server that has room and that the request may go to, of the first ones in
-    /// the common order of its group, or of this balancer. Ties are broken at random.
+    /// the common order of its group, or of this balancer.
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
         let key = self.state.order_for(id, &self.set);
+        let ranked = self.rank(id, key);
+        // Ties are broken at random.
+        let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
+        let ties: Vec<ServerId> = ranked.iter().filter(|r| r.0 <= best).map(|r| r.1).collect();
+        let pick = self.rng.random_range(0..ties.len().max(1));
+        ties.get(pick).copied()
+    }
+
+    fn rank(&self, id: RequestId, key: u64) -> Vec<(f64, ServerId)> {
         let conn = &self.state.conns[&id];
         let (now, scarcity) = (self.state.now, self.scarcity());
         let (limit, may_ask, crowd) = (self.limit(conn), self.may_ask(conn), self.crowd());
+        let servers = self.state.first_of(key, CANDIDATES);
+        let servers = servers.map(|(place, id)| (place, id, &self.state.servers[&id]));
+        let open: Vec<_> = servers.filter(|(_, _, s)| self.open(s)).collect();
         // Outlier ejection: silent and failing servers get nothing while there are others.
-        let server = |id: &ServerId| &self.state.servers[id];
-        let mut candidates = self.state.first_of(key, CANDIDATES);
-        let sound = candidates.any(|(_, id)| self.open(server(&id)) && !self.ejected(server(&id)));
+        let sound = open.iter().any(|(_, _, server)| !self.ejected(server));
         // Room before rank, or a group's full server hides an idle one; short room bars further shares.
-        let mut ranked: Vec<(f64, ServerId)> = Vec::new();
-        for (place, id) in self.state.first_of(key, CANDIDATES) {
-            let server = server(&id);
+        let mut ranked = Vec::new();
+        for (place, id, server) in open {
             let barred = conn.tried.contains(&id) || !self.harmless(conn, server);
-            if !self.open(server) || barred || sound && self.ejected(server) {
+            if barred || sound && self.ejected(server) {
                 continue;
             }
             let group_load = self.group_load(conn, server) * self.state.unit_of(server);
@@ -532,10 +541,7 @@
                 ranked.push((after + shun + self.surcharge(server), id));
             }
         }
-        let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
-        ranked.retain(|r| r.0 <= best);
-        let pick = self.rng.random_range(0..ranked.len().max(1));
-        ranked.get(pick).map(|r| r.1)
+        ranked
     }
 
     fn open(&self, server: &Server) -> bool {
