An old process that serves again is found by the next successor; bans tested over weighed sources

A successor that served and died left its own socket in the old one's place: the next one found nobody and listened beside it. The old one now binds anew when it takes its clients back (`handover::offer`). Test: a second successor after a killed one takes over, with SIGHUP to both and settings changed under way.

--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -14,7 +14,8 @@
 use violetwind_balancer::api::*;
 use violetwind_catalogue::{Instance, Row, Telling, Word};
 use violetwind_common::{Names, server_id};
-use violetwind_engine::{Clock, Engine, Limits, Notice, Order, Probe, Setup};
+use violetwind_engine::{Binding, Clock, Engine, Limits, Notice, Order, Probe, Reply, Setup};
+use violetwind_service::Change;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -550,3 +551,41 @@
         }
     }
 }
+
+/// A ban is above what the catalogue believes, and outlives a source that drops the server or is let go.
+#[test]
+fn a_ban_holds_over_sources_that_are_weighed() {
+    let mut world = World::new(3, &["consul", "registry"]);
+    let banned = server_id("s-0");
+    let say = |world: &mut World, change| {
+        let (reply, mut answer) = tokio::sync::oneshot::channel();
+        world.take(Notice::Operator(change, Binding::IfNamed, reply));
+        answer.try_recv().expect("in force at once")
+    };
+    let unknown = Change::Offline("nobody".into());
+    assert_eq!(say(&mut world, unknown), Reply::Unknown);
+    let out = Change::Offline("s-0".into());
+    assert!(matches!(say(&mut world, out), Reply::Changed(_)));
+    let from = world.sent.len();
+    world.tell("consul", world.list(|_| Some(Word::Ready)));
+    world.tell("consul", world.list(|n| (n > 0).then_some(Word::Ready)));
+    world.sources(&["registry"]);
+    world.tell("registry", world.list(|_| Some(Word::Ready)));
+    for id in 1000..1030 {
+        world.open(id);
+        world.pass(ms(50));
+    }
+    assert!(world.sent.len() >= from + 30);
+    assert!(
+        world.sent[from..]
+            .iter()
+            .all(|(_, server)| *server != banned)
+    );
+    let back = Change::Online("s-0".into());
+    assert!(matches!(say(&mut world, back), Reply::Changed(_)));
+    for id in 2000..2030 {
+        world.open(id);
+        world.pass(ms(50));
+    }
+    assert!(world.sent.iter().any(|(_, server)| *server == banned));
+}
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -162,45 +162,46 @@
 
 /// Waits for successors, one at a time, for as long as the process runs.
 pub async fn offer(dir: PathBuf, listener: Rc<TcpListener>, side: Rc<Side>) {
+    let (limits, service) = (&side.shared.limits, &side.shared.service);
     let path = socket(&dir);
-    // What an earlier process left there is replaced in one step.
-    let own = dir.join(format!("violetwind.sock.{}", std::process::id()));
-    let _ = std::fs::remove_file(&own);
-    let bound = UnixListener::bind(&own).and_then(|bound| {
-        std::fs::rename(&own, &path)?;
-        Ok(bound)
-    });
-    let offers = match bound {
-        Ok(bound) => bound,
-        Err(error) => {
-            let _ = std::fs::remove_file(&own);
-            return warn!(%error, path = %path.display(), "no successor can be handed over to");
-        }
-    };
-    info!(path = %path.display(), "successors are awaited");
-    let service = &side.shared.service;
     loop {
-        let stream = match offers.accept().await {
-            Ok((stream, _)) => stream,
+        let offers = match bind(&dir) {
+            Ok(offers) => offers,
             Err(error) => {
-                warn!(%error, "accept of a successor");
-                tokio::time::sleep(side.shared.limits.hand_over).await;
-                continue;
+                return warn!(%error, path = %path.display(), "no successor can be handed over to");
             }
         };
-        let ended = hand_over(Link::new(stream), &listener, &side).await;
-        if service.stand() == Stand::Succeeded {
-            warn!(
-                ?ended,
-                "the successor has gone: clients are served here again"
-            );
-            service.set_stand(Stand::Serving);
-            side.accepting.send_replace(true);
-            let _ = side.shared.engine.send(Notice::Succeeded(None)).await;
-        } else {
+        info!(path = %path.display(), "successors are awaited");
+        // A successor that has served has put its own socket in this one's place.
+        while service.stand() != Stand::Succeeded {
+            let stream = match offers.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    warn!(%error, "accept of a successor");
+                    tokio::time::sleep(limits.hand_over).await;
+                    continue;
+                }
+            };
+            let ended = hand_over(Link::new(stream), &listener, &side).await;
             info!(?ended, "a successor has gone");
         }
+        warn!("the successor has gone: clients are served here again");
+        service.set_stand(Stand::Serving);
+        side.accepting.send_replace(true);
+        let _ = side.shared.engine.send(Notice::Succeeded(None)).await;
+    }
+}
+
+/// What an earlier process left there is replaced in one step.
+fn bind(dir: &Path) -> io::Result<UnixListener> {
+    let own = dir.join(format!("violetwind.sock.{}", std::process::id()));
+    let _ = std::fs::remove_file(&own);
+    let bound = UnixListener::bind(&own)?;
+    if let Err(error) = std::fs::rename(&own, socket(dir)) {
+        let _ = std::fs::remove_file(&own);
+        return Err(error);
     }
+    Ok(bound)
 }
 
 async fn hand_over(mut link: Link, listener: &TcpListener, side: &Side) -> io::Result<()> {
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -249,6 +249,15 @@
     old.yes("HEALTH");
     old.up(&server);
     assert!(old.pong());
+    // The old one can be succeeded again, and by one whose file has other settings, with a reload meanwhile.
+    old.signal("-HUP");
+    let again = old.successor(discovery.addr);
+    wait_health(&again);
+    again.logged("the earlier process has handed over");
+    again.reload(|config| config["settings"]["permissions"]["max-attempts"] = json!(2));
+    again.logged("settings=true");
+    old.signal("-HUP");
+    again.up(&server);
     // What it had taken over went with it.
     assert!(client.try_hear().is_err());
     assert!(conn.try_hear().is_err());
@@ -292,6 +301,13 @@
     wait_health(&new);
     new.logged("the earlier process has handed over");
     drop(new);
+    // The old one takes its place again, before others do.
+    old.logged("clients are served here again");
+    let until = Instant::now() + Duration::from_secs(5);
+    while old.log().matches("successors are awaited").count() < 2 {
+        assert!(Instant::now() < until);
+        thread::sleep(Duration::from_millis(5));
+    }
     // Stale, silent, or an ordinary file: each process listens by itself beside the old one.
     let quiet = old.dir().join("quiet");
     let kinds: [&dyn Fn(); 3] = [
