Late messages on own connections outweigh a server's report

Line at fault: `Event::DelayNote(..) => {}`. Ruled out: that reports tell it (they are true for others, or stuck); that probes do (they pass). Now a server whose messages are later than the shortest aim (`family-info.message-aim-s`, new in `api.rs`) counts as past its capacity for 2 s after the last such note, and where its report shows room one connection a note is moved, if another server has room for it. It should cover untrue reports, servers that are bad for this balancer alone, noisy neighbours, slow ways between zones; it could do harm where all are slow at once, so nothing moves without room elsewhere. Without the setting nothing changes.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -91,6 +91,8 @@
     pub price_probe: f64,
     pub over_share_worth: f64,
     pub budget: Option<Budget>,
+    /// The shortest time in which clients want an answer on an open connection, where that is told.
+    pub message_aim: Option<Secs>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -69,6 +69,10 @@
 /// Recent failures beyond which a server is ejected until they are forgiven.
 const EJECT: f64 = 3.0;
 
+/// The load that a server counts at where own messages are late, and for how long after the last of them.
+const SLOW: f64 = 1.2;
+const SLOW_FOR: Secs = 2.0;
+
 const TIMER_ASK: u64 = 0;
 const TIMER_WAIT: u64 = 1;
 /// Probe timers carry the server's id above this.
@@ -156,7 +160,8 @@
                 self.place_waiting(None, out);
             }
             Event::Timer(token) if token >= TIMER_PROBE => self.on_probe_timer(token as u32, out),
-            Event::Start | Event::DelayNote(..) | Event::Timer(_) => {}
+            Event::DelayNote(server, delay) => self.on_delay(server, delay, out),
+            Event::Start | Event::Timer(_) => {}
         }
     }
 
@@ -291,6 +296,28 @@
         }
     }
 
+    /// What own connections meet at a server outweighs its report, which may be untrue, or true for others:
+    /// while messages are late there it counts as past its capacity.
+    fn on_delay(&mut self, id: ServerId, delay: Secs, out: &mut Vec<Action>) {
+        let late = self.set.message_aim.is_some_and(|aim| delay > aim);
+        let at = late.then_some(self.state.now);
+        self.state.server(id, |server| server.slow_at = at);
+        let told = |server: &Server| server.figure_since(self.state.now - FORGOTTEN);
+        let untrue = |server: &Server| told(server).is_some_and(|load| load <= THRESHOLD);
+        if late && self.state.servers.get(&id).is_some_and(untrue) {
+            self.relieve(id, out);
+        }
+    }
+
+    /// A server's load as its report and own connections tell it.
+    fn felt(&self, server: &Server, figure: f64) -> f64 {
+        let by_load = self.set.report_fields.contains(&Field::Load);
+        match by_load && server.slow_since(self.state.now - SLOW_FOR) {
+            true => figure.max(SLOW),
+            false => figure,
+        }
+    }
+
     /// Takes the figure of a report, in the design's metric order.
     fn hear(&mut self, id: ServerId, report: Report) {
         let figure = report.load.or(report.connections).or(report.queue);
@@ -568,7 +595,7 @@
         // A cold server holds no more than the turns that all balancers have had.
         let cold = server.cold_rest(self.state.now, &self.set) > 0.0;
         let guess = if cold { 0.0 } else { self.state.mean_figure };
-        figure.unwrap_or(guess) + added * self.state.unit_of(server)
+        self.felt(server, figure.unwrap_or(guess)) + added * self.state.unit_of(server)
     }
 
     /// Whether a request may still wait for a figure.
@@ -626,7 +653,8 @@
         let by_count = COUNT_TRIGGER * self.state.mean_figure;
         let limit = if by_load { THRESHOLD } else { by_count };
         let server = &self.state.servers[&id];
-        let load_now = server.figure.unwrap_or(0.0);
+        let told = server.figure.unwrap_or(0.0);
+        let load_now = self.felt(server, told);
         if load_now <= limit || !server.up() {
             return;
         }
@@ -645,7 +673,7 @@
         let servers = self.state.first_of(key, CANDIDATES);
         let mut servers = servers.map(|(_, id)| &self.state.servers[&id]);
         let room = servers.any(|s| self.open(s) && !s.suspect && !s.doubted() && fits(s));
-        let many = by_load && load_now > DROWNING;
+        let many = by_load && told > DROWNING;
         if !room && !many {
             return;
         }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -56,6 +56,8 @@
     /// It answered neither a probe nor a connect since it last did.
     pub suspect: bool,
     pub errors: Fading,
+    /// When an own connection last met an answer later than is wanted, until one comes in time.
+    pub slow_at: Option<Secs>,
     /// A cold server may get its next connection not before this, and after so many of all balancers.
     pub cold_until: Secs,
     pub turn: f64,
@@ -101,6 +103,11 @@
         self.figure.filter(|_| self.heard_since(then))
     }
 
+    /// Whether own connections have met late answers since then.
+    pub fn slow_since(&self, then: Secs) -> bool {
+        self.slow_at.is_some_and(|at| at >= then)
+    }
+
     pub fn asked_since(&self, then: Secs) -> bool {
         self.asked_at.is_some_and(|at| at >= then)
     }
--- a/crates/balancer/tests/common/mod.rs
+++ b/crates/balancer/tests/common/mod.rs
@@ -44,6 +44,7 @@
         price_probe: 0.0,
         over_share_worth: 0.1,
         budget: None,
+        message_aim: None,
     }
 }
 
--- a/crates/balancer/tests/failures.rs
+++ b/crates/balancer/tests/failures.rs
@@ -485,3 +485,59 @@
     assert!((20..70).contains(&restarted), "{restarted} after a restart");
     assert!(running > 2 * restarted, "{running} by the usual guess");
 }
+
+/// A server reports little load while messages are late there: its report is untrue, or true for others alone.
+#[test]
+fn late_messages_outweigh_a_report_that_shows_room() {
+    let mut set = settings();
+    set.message_aim = Some(0.15);
+    let mut bench = Bench::new(set, vec![entry(1), entry(2)], 3);
+    bench.open(1, 1000, &[0.1; 10]);
+    bench.report(1, 0.1);
+    bench.report(2, 0.6);
+    assert_eq!(bench.place(1), Some(1));
+    // In time, by the shortest aim: nothing changes.
+    assert!(bench.on(Event::DelayNote(1, 0.1)).is_empty());
+    assert_eq!(bench.place(2), Some(1));
+    let mut gone = 0;
+    for _ in 0..10 {
+        bench.now += 0.1;
+        let actions = bench.on(Event::DelayNote(1, 0.4));
+        // One at a time, as past the threshold: its peers see the same, or nothing.
+        assert!(moved(&actions).len() <= 1);
+        gone += moved(&actions).len();
+    }
+    assert!(gone > 0);
+    assert_eq!(bench.place(3), Some(2));
+    // It has recovered, or the last note is old.
+    bench.on(Event::DelayNote(1, 0.05));
+    assert_eq!(bench.place(4), Some(1));
+    bench.on(Event::DelayNote(1, 0.4));
+    bench.now += 2.5;
+    bench.report(1, 0.1);
+    assert_eq!(bench.place(5), Some(1));
+}
+
+/// A slow way between zones makes all servers there late at once: they keep what they hold while there is no
+/// room elsewhere, and nothing moves where the settings tell no aim.
+#[test]
+fn late_messages_empty_no_server_without_room_elsewhere() {
+    for aim in [None, Some(0.15)] {
+        let mut set = settings();
+        set.message_aim = aim;
+        let mut bench = Bench::new(set, vec![entry(1), entry(2)], 3);
+        for server in [1, 2] {
+            bench.open(server, 1000 * u64::from(server), &[0.1; 10]);
+            bench.report(server, 0.3);
+        }
+        for _ in 0..20 {
+            bench.now += 0.1;
+            for server in [1, 2] {
+                let actions = bench.on(Event::DelayNote(server, 0.5));
+                // The first of them is late while the other has room still.
+                let both = bench.now > 100.15;
+                assert!(moved(&actions).is_empty() || aim.is_some() && !both);
+            }
+        }
+    }
+}
--- a/crates/common/src/settings.rs
+++ b/crates/common/src/settings.rs
@@ -52,6 +52,19 @@
     }
 }
 
+fn message_aim(facts: &impl Facts) -> Result<Option<f64>, String> {
+    let name = "family-info.message-aim-s";
+    let mut shortest: Option<f64> = None;
+    for text in facts.list(name) {
+        let aim = text.parse::<f64>().ok().filter(|aim| aim.is_finite());
+        let aim = aim.ok_or_else(|| format!("{name}={text}: expected a number"))?;
+        if aim > 0.0 {
+            shortest = Some(shortest.map_or(aim, |least| least.min(aim)));
+        }
+    }
+    Ok(shortest)
+}
+
 /// The budget of attempts, where all its keys are there.
 fn budget(facts: &impl Facts) -> Result<Option<Budget>, String> {
     let figure = |name: &str| match facts.number(name)? {
@@ -140,6 +153,7 @@
         price_probe: facts.number_or("prices.probe", 0.0)?,
         over_share_worth: facts.number_or("over-share-worth", 1.0)?,
         budget: budget(facts)?,
+        message_aim: message_aim(facts)?,
     };
     Ok((settings, names))
 }
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -51,6 +51,7 @@
         price_probe: 0.0,
         over_share_worth: 1.0,
         budget: None,
+        message_aim: None,
     }
 }
 
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -1226,5 +1226,6 @@
         price_probe: 0.0,
         over_share_worth: 0.1,
         budget: None,
+        message_aim: None,
     }
 }
