On sockets the module is not told the aim of messages: small loads read as delays

Now the proxy leaves the aim out of the settings, so the module acts as before there. Telling the two apart (two such figures a second apart at one server) is on the roadmap.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -228,7 +228,11 @@
         above_zero(&json["settings"])?;
         let mut flat = Flat::default();
         flat.add("", &json["settings"]);
-        let (settings, names) = settings(&flat).map_err(|error| format!("settings: {error}"))?;
+        let (mut settings, names) =
+            settings(&flat).map_err(|error| format!("settings: {error}"))?;
+        // On sockets a delay and a small load come under one word (`notes.rs`): the load of a connection that
+        // is all but idle would pass for a server that is late, and move others off it.
+        settings.message_aim = None;
         let time = |name: &str| flat.get(name).map(|_| flat.secs(name)).transpose();
         let deadline = |at| Ok(time(&format!("request-classes.{at}.deadline-s"))?.unwrap_or(2.0));
         let deadlines = (0..settings.classes.len())
@@ -354,7 +358,8 @@
         "settings":{"fleet-size":3,"me":1,"zone":"b","azs":["a","b"],
           "request-classes":[{"name":"watch","idempotency":"pure","deadline-s":2.5,"target-s":0.5}],
           "reporting":{"fields":["x0"],"source":"probe"},
-          "permissions":{"probes":true,"max-attempts":6,"connect-timeout-s":0.12},"weights":"rough"}}"#;
+          "permissions":{"probes":true,"max-attempts":6,"connect-timeout-s":0.12},
+          "family-info":{"message-aim-s":[0.15]},"weights":"rough"}}"#;
 
     fn parse(text: &str) -> Result<Config, String> {
         Config::parse(text, |_| None)
@@ -375,6 +380,8 @@
         assert_eq!(config.settings.classes[0].aim, 0.5);
         assert!(config.settings.may_probe);
         assert_eq!(config.longest_deadline, 2.5);
+        // Delays can't be told from small loads: the module must not act on them.
+        assert_eq!(config.settings.message_aim, None);
         assert_eq!(config.seed, 255);
         assert_eq!(config.reports, Reports::Probes);
     }
