Read once more: no line is copied for a hand-over until it comes; limits named

Every connection that came up copied its first line for a hand-over that may never come, with the feature off too (`route.rs`); the relay borrows it now and writes it out when it is offered. The listener's backlog has a name in `Limits`. An order to hand over that finds no room, and a connection that can't be offered for want of a descriptor, are logged; both were silent. The engine's tests have their settings once. No decision changes.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -538,13 +538,13 @@
     }
 
     fn up(&mut self, id: RequestId, server: ServerId) {
+        if self.succeeded {
+            self.order(id, Order::HandOver);
+        }
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.out = None;
             conn.on = Some(server);
             self.on_server.entry(server).or_default().insert(id);
-            if self.succeeded {
-                let _ = conn.orders.try_send(Order::HandOver);
-            }
             if let Some(leaving) = &mut self.leaving {
                 leaving.left.push(id);
                 self.next_spread = Some(self.now);
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -1,6 +1,8 @@
 //! The engine with a catalogue, played in simulated time: servers answer probes or don't, clients are
 //! counted by the orders that reach them.
 
+mod common;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -24,35 +26,12 @@
 fn settings() -> Settings {
     Settings {
         fleet_size: 1,
-        me: 0,
-        zone: None,
-        zones: 0,
-        classes: vec![Class {
-            effect: Effect::Safe,
-            scope: Scope::All,
-            window: 0.0,
-            aim: 0.5,
-            worth: 1.0,
-        }],
-        tenants: Vec::new(),
-        report_fields: Vec::new(),
-        max_attempts: 4,
-        max_retry_after: 1.0,
-        may_retry_after: true,
         may_probe: true,
-        may_cancel: true,
-        must_ask: false,
-        ask_within: 5.0,
         cold_from: 1.0,
         cold_for: 0.0,
         fall_multiple: 1.0,
         fall_for: 1.0,
-        groups: false,
-        price_cross_zone: 0.0,
-        price_probe: 0.0,
-        over_share_worth: 1.0,
-        budget: None,
-        message_aim: None,
+        ..common::settings()
     }
 }
 
--- a/crates/proxy/src/handover/connections.rs
+++ b/crates/proxy/src/handover/connections.rs
@@ -117,16 +117,12 @@
                 load: connection.load,
                 waiting_since: waits.and_then(|waits| Instant::now().checked_sub(waits)),
             };
-            relay::relay(
-                client,
-                server,
-                on,
-                orders,
-                booking,
-                (connection.line, heard),
-                &shared,
-            )
-            .await;
+            // It was read when the connection came.
+            let Some(First::Open(open)) = line::first(&connection.line) else {
+                return;
+            };
+            let heard = (&open, heard);
+            relay::relay(client, server, on, orders, booking, heard, &shared).await;
             drop(hold);
         });
     }
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -36,7 +36,7 @@
 }
 
 /// Listens for clients; `shared` where a successor that nobody hands the listener to may do so too.
-pub fn listen(at: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+pub fn listen(at: SocketAddr, shared: bool, limits: &Limits) -> io::Result<TcpListener> {
     let socket = match at {
         SocketAddr::V4(_) => TcpSocket::new_v4(),
         SocketAddr::V6(_) => TcpSocket::new_v6(),
@@ -46,7 +46,7 @@
         warn!(%error, "the clients' address can't be shared");
     }
     socket.bind(at)?;
-    socket.listen(1024)
+    socket.listen(limits.backlog)
 }
 
 /// What was there before this process.
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -42,6 +42,8 @@
     /// The most load of one connection that is believed, in microseconds of work a second.
     pub most_load: f64,
 
+    /// Connections that the system holds until they are accepted.
+    pub backlog: u32,
     /// A listener that has no descriptor left, or fails, tries again after this.
     pub accept_again: Duration,
     /// From a connection's acceptance until its first line is whole. It is owed an answer within 3 s
@@ -190,6 +192,7 @@
             list_rows: 20_000,
             // A thousand cores kept busy by one connection.
             most_load: 1e9,
+            backlog: 1024,
             accept_again: ms(2),
             first_line: ms(2000),
             first_line_least: ms(25),
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -140,7 +140,7 @@
     let mut before = Before::find(dir.as_deref(), config.listen, &limits).await;
     let listener = match before.listener.take() {
         Some(listener) => listener,
-        None => handover::listen(config.listen, dir.is_some())
+        None => handover::listen(config.listen, dir.is_some(), &limits)
             .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", config.listen)))?,
     };
     let listener = Rc::new(listener);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -8,13 +8,13 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout};
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 use violetwind_balancer::api::{Outcome, Report, ServerId};
 
 use crate::book::Booking;
 use crate::handover::{Given, Offered};
 use crate::limits::Limits;
-use crate::line::{self, Scanner, Word};
+use crate::line::{self, Open, Scanner, Word};
 use crate::ring::{Ring, skip_block};
 use crate::send::Server;
 use crate::take_in::{Client, Shared};
@@ -167,7 +167,7 @@
     on: ServerId,
     mut orders: mpsc::Receiver<Order>,
     booking: Booking,
-    (line, heard): (Vec<u8>, Heard),
+    (open, heard): (&Open<'_>, Heard),
     shared: &Shared,
 ) {
     let limits = &*shared.limits;
@@ -195,7 +195,7 @@
     let end = loop {
         match relay.run(on, &mut orders, &booking).await {
             End::BetweenLines => {
-                if relay.give(&line, on, shared).await {
+                if relay.give(open, on, shared).await {
                     debug!("the successor has it");
                     return booking.gone().await;
                 }
@@ -345,7 +345,7 @@
     }
 
     /// Offers the connection to the successor; false if that does not take it. Nothing is read meanwhile.
-    async fn give(&self, line: &[u8], on: ServerId, shared: &Shared) -> bool {
+    async fn give(&self, open: &Open<'_>, on: ServerId, shared: &Shared) -> bool {
         let Some(heir) = shared.service.heir() else {
             return false;
         };
@@ -356,13 +356,17 @@
         let double = |stream: &TcpStream| stream.as_fd().try_clone_to_owned();
         let (Ok(client), Ok(server)) = (double(&self.client.stream), double(&self.server.stream))
         else {
+            warn!(
+                server = on,
+                "no descriptor left to offer a connection: it stays"
+            );
             return false;
         };
         let waits = self.waiting_since.map(|since| since.elapsed().as_millis());
         let (answer, given) = oneshot::channel();
         room.send(Given {
             connection: Connection {
-                line: line.to_vec(),
+                line: open.to_line(),
                 server: on,
                 load: self.told,
                 waits_ms: waits.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX)),
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -35,17 +35,8 @@
     match decide(&mut client, &admitted, shared, &booking, to, &mut orders).await {
         Answer::Taken(on, server) => {
             booking.up();
-            let line = admitted.open.to_line();
-            relay::relay(
-                client,
-                server,
-                on,
-                orders,
-                booking,
-                (line, Heard::default()),
-                shared,
-            )
-            .await;
+            let heard = (admitted.open, Heard::default());
+            relay::relay(client, server, on, orders, booking, heard, shared).await;
         }
         Answer::Refused(wait) => {
             debug!(id, "refused");
