The simulated fleet runs one process of a directory at a time

A process that had not ended was started anew beside itself and both wrote; the world kills it first. Found by a planted error that stopped the world instead of being found.

--- a/crates/storm/src/fleet.rs
+++ b/crates/storm/src/fleet.rs
@@ -253,6 +253,8 @@
         let names: Vec<Name> = self.hosts.keys().cloned().collect();
         for name in &names {
             if self.hosts[name].back.is_some_and(|back| self.now >= back) {
+                // One process of a directory at a time.
+                self.kill(name);
                 self.start(name);
             }
         }
