--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -55,7 +55,9 @@
     given: BTreeMap<Name, Number>,
     holds: BTreeMap<Name, Hold>,
     out: VecDeque<(Number, Millis, What)>,
-    /// The last answer about the session that was taken.
+    /// How far the log was in the newest answer about this session.
+    at: u64,
+    /// The last ask that was answered.
     heard: Number,
     answered: Millis,
     /// The last ask that was not answered in time.
@@ -81,6 +83,7 @@
             given: BTreeMap::new(),
             holds: BTreeMap::new(),
             out: VecDeque::new(),
+            at: 0,
             heard: 0,
             answered: now,
             missed: 0,
@@ -323,24 +326,33 @@
         };
         let (_, asked, what) = self.out.remove(at).expect("just seen");
         match (what, told) {
-            (What::Join, Told::Joined { session, held }) => {
+            (What::Join, Told::Joined { session, at, held }) => {
                 let until = asked + limits.lease;
-                self.session = Some(Session {
-                    id: *session,
-                    until,
-                    lapsed: false,
-                });
-                self.giving.clear();
-                self.no_session = None;
-                events.push(Event::Session { number: *session });
-                self.renewed(number, now, held, &[], limits, events);
+                match &mut self.session {
+                    // Asked for more than once.
+                    Some(known) if known.id == *session && !known.lapsed => {
+                        known.until = known.until.max(until);
+                    }
+                    known => {
+                        *known = Some(Session {
+                            id: *session,
+                            until,
+                            lapsed: false,
+                        });
+                        self.giving.clear();
+                        self.no_session = None;
+                        self.at = 0;
+                        events.push(Event::Session { number: *session });
+                    }
+                }
+                self.renewed(*at, now, held, &[], limits, events);
             }
-            (What::Renew, Told::Renewed { held, give_up }) => {
+            (What::Renew, Told::Renewed { at, held, give_up }) => {
                 let Some(session) = self.session.as_mut().filter(|session| !session.lapsed) else {
                     return false;
                 };
                 session.until = session.until.max(asked + limits.lease);
-                self.renewed(number, now, held, give_up, limits, events);
+                self.renewed(*at, now, held, give_up, limits, events);
             }
             (What::Renew, Told::Gone) => {
                 self.lose_all(&Why::SessionOver, events);
@@ -381,17 +393,18 @@
 
     fn renewed(
         &mut self,
-        number: Number,
+        at: u64,
         now: Millis,
         held: &[(Name, Number)],
         give_up: &[(Name, Option<Name>)],
         limits: &Limits,
         events: &mut Vec<Event>,
     ) {
-        // Answers may overtake each other.
-        if number < self.heard {
+        // Answers may overtake each other: the newest state of the log counts, whichever ask it answers.
+        if at < self.at {
             return;
         }
+        self.at = at;
         let gone: Vec<Name> = self.held.keys().cloned().collect();
         for duty in gone {
             let fence = self.held[&duty];
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -785,7 +785,11 @@
             Effect::Joined(session) => {
                 running.grantor.grant(session, now, &limits);
                 let held = running.state.held(session);
-                Told::Joined { session, held }
+                Told::Joined {
+                    session,
+                    at: running.applied,
+                    held,
+                }
             }
             Effect::NameInUse => Told::Later("another session has this name".into()),
             Effect::Refused(why) => Told::Refused(why.into()),
@@ -973,6 +977,7 @@
                     running.grantor.grant(session, now, &limits);
                     let held = running.state.held(session);
                     Told::Renewed {
+                        at: running.applied,
                         held,
                         give_up: running.state.give_up(session),
                     }
@@ -987,6 +992,7 @@
                     running.grantor.grant(session, now, &limits);
                     Told::Joined {
                         session,
+                        at: running.applied,
                         held: running.state.held(session),
                     }
                 }
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -82,12 +82,15 @@
     NotLeader(Option<Name>),
     /// Not now, for a reason that passes: ask again.
     Later(String),
+    /// The lease counts from when this was asked; what is held is as the log had it at `at`.
     Joined {
         session: SessionId,
+        at: u64,
         held: Vec<(Name, Number)>,
     },
     /// What the session holds, and what it is to give up for whom.
     Renewed {
+        at: u64,
         held: Vec<(Name, Number)>,
         give_up: Vec<(Name, Option<Name>)>,
     },
--- a/crates/fleet/tests/seeds.rs
+++ b/crates/fleet/tests/seeds.rs
@@ -39,6 +39,15 @@
     );
 }
 
+/// Answers that overtook each other shortened a lease that a program had been told of, or took a duty from its
+/// holder for good.
+#[test]
+fn seeds_that_have_found_something_stay_clean() {
+    campaign(1640..1641);
+    campaign(4771..4772);
+    campaign(8660..8661);
+}
+
 /// `cargo test --release -p violetwind-fleet --test seeds -- --ignored --nocapture`
 #[test]
 #[ignore = "minutes; for a release build"]
--- /dev/null
+++ b/crates/proxy/src/fleet/frames.rs
@@ -0,0 +1,107 @@
+//! Frames between members: a length, a checksum, a value. The first on each link says who speaks.
+
+use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use tokio_util::codec::LengthDelimitedCodec;
+use violetwind_consensus::NodeId;
+use violetwind_fleet::{Name, Peer};
+
+/// Before the first value, so that another version can be told from anything else.
+const MAGIC: &[u8] = b"violetwind fleet";
+pub const VERSION: u8 = 1;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    pub fleet: Name,
+    pub from: Name,
+    pub to: Name,
+    /// The sender's directory, where it has one.
+    pub id: Option<NodeId>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum First {
+    Hello(Hello),
+    Refused(String),
+}
+
+pub fn codec(frame_bytes: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(frame_bytes).new_codec()
+}
+
+fn summed(mut bytes: Vec<u8>) -> Bytes {
+    let crc = crc32fast::hash(&bytes[4..]);
+    bytes[..4].copy_from_slice(&crc.to_le_bytes());
+    bytes.into()
+}
+
+fn checked(frame: &BytesMut) -> Result<&[u8], String> {
+    let (crc, rest) = frame.split_first_chunk::<4>().ok_or("a frame without a checksum")?;
+    match u32::from_le_bytes(*crc) == crc32fast::hash(rest) {
+        true => Ok(rest),
+        false => Err("a frame whose checksum differs".into()),
+    }
+}
+
+pub fn first(first: &First) -> Bytes {
+    let mut bytes = vec![0; 4];
+    bytes.extend_from_slice(MAGIC);
+    bytes.push(VERSION);
+    summed(postcard::to_extend(first, bytes).expect("plain data can be written"))
+}
+
+/// # Errors
+/// No member of any fleet, or one of another version.
+pub fn read_first(frame: &BytesMut) -> Result<First, String> {
+    let rest = checked(frame)?.strip_prefix(MAGIC).ok_or("no member of a fleet speaks here")?;
+    match rest.split_first() {
+        Some((&VERSION, rest)) => postcard::from_bytes(rest).map_err(|error| error.to_string()),
+        Some((version, _)) => Err(format!("it speaks version {version}, this program {VERSION}")),
+        None => Err("it tells no version".into()),
+    }
+}
+
+/// Nothing to say.
+pub fn ping() -> Bytes {
+    summed(vec![0; 4])
+}
+
+pub fn peer(peer: &Peer) -> Bytes {
+    summed(postcard::to_extend(peer, vec![0; 4]).expect("plain data can be written"))
+}
+
+/// None for a ping.
+///
+/// # Errors
+/// Altered, or nothing that this version knows.
+pub fn read_peer(frame: &BytesMut) -> Result<Option<Peer>, String> {
+    match checked(frame)? {
+        [] => Ok(None),
+        rest => postcard::from_bytes(rest).map(Some).map_err(|error| format!("a frame: {error}")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use violetwind_fleet::{Ask, Peer};
+
+    #[test]
+    fn frames_are_read_as_written_and_any_altered_byte_is_told() {
+        let sent = Peer::Ask(7, Ask::Renew { session: 300 });
+        let mut frame = BytesMut::from(&peer(&sent)[..]);
+        assert_eq!(read_peer(&frame), Ok(Some(sent)));
+        for at in 0..frame.len() {
+            frame[at] ^= 1;
+            assert!(read_peer(&frame).is_err(), "byte {at}");
+            frame[at] ^= 1;
+        }
+        assert_eq!(read_peer(&BytesMut::from(&ping()[..])), Ok(None));
+        assert!(read_peer(&BytesMut::from(&b"abc"[..])).is_err());
+        let mut other = first(&First::Refused("no".into())).to_vec();
+        other[4 + MAGIC.len()] = 9;
+        let other = summed(other);
+        let error = read_first(&BytesMut::from(&other[..])).unwrap_err();
+        assert!(error.contains("version 9"), "{error}");
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/fleet/settings.rs
@@ -0,0 +1,224 @@
+//! `[fleet]` of the operator's file: who belongs together, the times and limits, and what this proxy is able to
+//! hold. Without the section there is no fleet.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use violetwind_conf::Section;
+use violetwind_fleet::{Caps, Limits, Name, Unsound};
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub name: Name,
+    pub listen: SocketAddr,
+    /// Without one this proxy never votes.
+    pub dir: Option<PathBuf>,
+    /// Whether the disk is waited for: false only to measure what that costs.
+    pub sync: bool,
+    pub peers: Vec<PeerAt>,
+    pub duties: Vec<Name>,
+    pub limits: Limits,
+    pub links: Links,
+    /// What is allowed and probably not meant.
+    pub warnings: Vec<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerAt {
+    pub node: Name,
+    pub address: SocketAddr,
+    pub votes: bool,
+}
+
+/// Sizes and times of links and of the directory.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Links {
+    /// Members that may be linked to this one at once, beyond those that it dials.
+    pub accepted: usize,
+    /// The longest frame; a longer one ends the link before anything is kept of it.
+    pub frame_bytes: usize,
+    /// Frames and bytes on the way to one member; more are dropped and counted.
+    pub queue: usize,
+    pub queue_bytes: usize,
+    /// Until a link is up and both have said who they are.
+    pub connect: Duration,
+    /// Between two attempts: the first, doubled up to the longest.
+    pub again: Duration,
+    pub again_most: Duration,
+    /// A link that has nothing to say says so; one that is heard nothing of, or takes nothing, for
+    /// `silence` is cut.
+    pub ping: Duration,
+    pub silence: Duration,
+    /// Frames and acknowledgements that wait for the member.
+    pub inbox: usize,
+    /// Calls of operators that wait for an answer.
+    pub calls: usize,
+    /// Bytes of records that are not on disk yet; with more the member stops.
+    pub unsynced_bytes: usize,
+    /// A file of the log is written anew when it has grown by so much.
+    pub segment_bytes: u64,
+    /// Between two attempts to write to a disk that is full, or to lock a directory that is in use.
+    pub retry: Duration,
+    pub tick: Duration,
+}
+
+impl Links {
+    fn new(limits: &Limits) -> Self {
+        let heartbeat = Duration::from_millis(limits.log.heartbeat);
+        Self {
+            accepted: 64,
+            frame_bytes: 2 << 20,
+            queue: 1024,
+            queue_bytes: 4 << 20,
+            connect: Duration::from_millis(1000),
+            again: Duration::from_millis(50),
+            again_most: Duration::from_millis(1000),
+            ping: 5 * heartbeat,
+            silence: 20 * heartbeat,
+            inbox: 4096,
+            calls: 1024,
+            unsynced_bytes: 32 << 20,
+            segment_bytes: 8 << 20,
+            retry: Duration::from_millis(200),
+            tick: heartbeat / 5,
+        }
+    }
+}
+
+/// Voters at most: each one more makes every commit wait for more disks.
+const VOTERS: usize = 7;
+
+impl Settings {
+    /// Descriptors that are set aside for the fleet, whatever clients do: links both ways, the listener, the
+    /// directory's files and the thread's own.
+    pub fn descriptors(&self) -> usize {
+        self.links.accepted + VOTERS + 16
+    }
+
+    pub fn voters(&self) -> impl Iterator<Item = &PeerAt> {
+        self.peers.iter().filter(|peer| peer.votes)
+    }
+
+    /// What is wrong with the section for a proxy of that name.
+    pub fn fits(&self, node: &str) -> Result<(), String> {
+        let own = self.peers.iter().find(|peer| peer.node == node);
+        match own {
+            None => Err(format!(
+                "`fleet.peer`: no peer has this proxy's own name, \"{node}\""
+            )),
+            Some(own) if own.votes && self.dir.is_none() => Err(format!(
+                "`fleet.dir`: \"{node}\" votes, and has no directory to remember its votes in"
+            )),
+            Some(_) => Ok(()),
+        }
+    }
+
+    pub fn read(root: &Section<'_>) -> Option<Self> {
+        let section = root.section("fleet");
+        if !section.is_there() {
+            return None;
+        }
+        let settings = Self::from(&section);
+        section.finish();
+        Some(settings)
+    }
+
+    fn from(section: &Section<'_>) -> Self {
+        let ms = Duration::from_millis;
+        let span = |name: &str, from, to, default| {
+            let span = section.span(name, ms(from)..=ms(to), ms(default));
+            span.as_millis() as u64
+        };
+        let base = Limits::default();
+        let lease = span("lease", 200, 600_000, base.lease);
+        let election = span("election", 50, 60_000, base.log.election);
+        let mut limits = Limits::with(lease, election);
+        limits.margin = span("margin", 1, 300_000, limits.margin);
+        match limits.check() {
+            Ok(()) => {}
+            Err(Unsound::LeaseTooShort { least }) => section.wrong(
+                "lease",
+                format!("shorter than elections need: {least}ms at least, or a shorter `election`"),
+            ),
+            Err(Unsound::MarginTooLong { most }) => {
+                section.wrong("margin", format!("longer than half of the lease, {most}ms"));
+            }
+        }
+        let mut links = Links::new(&limits);
+        links.accepted = section.int("links", 1..=4096, links.accepted as u64) as usize;
+        links.queue_bytes =
+            section.int("queue_bytes", 65_536..=1 << 30, links.queue_bytes as u64) as usize;
+        links.segment_bytes =
+            section.int("segment_bytes", 65_536..=1 << 40, links.segment_bytes);
+        let name = checked(section, "name");
+        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+        let address = |section: &Section<'_>, key: &str| {
+            if !section.has(key) {
+                section.wrong(key, "expected an address and a port, found nothing");
+            }
+            let expected = "an IP address and a port, such as \"127.0.0.1:7100\"";
+            section.parsed(key, expected, |text| text.parse().ok())
+        };
+        let listen = address(section, "listen").unwrap_or(unset);
+        let dir = section.text("dir").map(PathBuf::from);
+        let sync = section.flag("sync", true);
+        let mut warnings = Vec::new();
+        if !sync {
+            warnings.push("`fleet.sync` is off: what is acknowledged is lost with the machine's power".into());
+        }
+        let (mut names, mut addresses) = (BTreeSet::new(), BTreeSet::new());
+        let mut peers = Vec::new();
+        for section in section.sections("peer") {
+            let peer = PeerAt {
+                node: checked(&section, "node"),
+                address: address(&section, "address").unwrap_or(unset),
+                votes: section.flag("votes", false),
+            };
+            section.finish();
+            if !names.insert(peer.node.clone()) {
+                section.wrong("node", "another peer has this name");
+            }
+            if section.has("address") && !addresses.insert(peer.address) {
+                section.wrong("address", "another peer has this address");
+            }
+            peers.push(peer);
+        }
+        let voters = peers.iter().filter(|peer| peer.votes).count();
+        match voters {
+            0 => section.wrong("peer", "nobody votes: 1, 3, 5 or 7 peers with `votes = true`"),
+            _ if voters > VOTERS => {
+                section.wrong("peer", format!("{voters} voters, {VOTERS} at most"));
+            }
+            _ if voters % 2 == 0 => warnings.push(format!(
+                "`fleet.peer`: {voters} voters stand no more losses than {}",
+                voters - 1
+            )),
+            _ => {}
+        }
+        let mut duties = BTreeSet::new();
+        for section in section.sections("duty") {
+            let duty = checked(&section, "name");
+            section.finish();
+            if !duties.insert(duty) {
+                section.wrong("name", "another duty has this name");
+            }
+        }
+        if duties.len() > Caps::DUTIES {
+            section.wrong("duty", format!("{} duties, {} at most", duties.len(), Caps::DUTIES));
+        }
+        let duties = duties.into_iter().collect();
+        Self { name, listen, dir, sync, peers, duties, limits, links, warnings }
+    }
+}
+
+/// A name that must be there: it goes into frames, calls and logs.
+fn checked(section: &Section<'_>, key: &str) -> Name {
+    let name = section.need_text(key);
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
+    if section.has(key) && (name.is_empty() || name.len() > Caps::NAME || !name.chars().all(plain)) {
+        section.wrong(key, "expected up to 64 letters, digits, `-`, `_`, `.` and `:`");
+    }
+    name
+}
