--- a/crates/consensus/src/words.rs
+++ b/crates/consensus/src/words.rs
@@ -177,7 +177,7 @@
 }
 
 /// What a directory holds: all writes put together.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Disk {
     pub seq: Seq,
     pub term: Term,
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -145,7 +145,7 @@
 }
 
 /// What a member's directory holds.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Saved {
     pub id: NodeId,
     pub agreed: Option<Members>,
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -1,13 +1,14 @@
 //! The command line.
 
-use std::path::PathBuf;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 
-use crate::operator::Layers;
-use crate::show;
+use crate::operator::{Layers, Operator};
+use crate::{show, staff};
 
 /// A balancer for long-lived connections.
 ///
@@ -23,6 +24,8 @@
   NODE_CONFIG=config.json violetwind run --config deploy/violetwind.example.toml --set log.format=json
   violetwind check deploy/violetwind.example.toml
   violetwind catalogue deploy/violetwind.example.toml --json
+  violetwind fleet status --at 127.0.0.1:19000
+  violetwind hold nightly-export --at 127.0.0.1:19000 -- ./export.sh
   violetwind completions bash > /etc/bash_completion.d/violetwind"
 )]
 pub struct Cli {
@@ -49,10 +52,76 @@
         #[arg(long)]
         json: bool,
     },
+    /// Ask a proxy about its fleet, or have it change something there.
+    #[command(subcommand)]
+    Fleet(Fleet),
+    /// Run a command only while a proxy holds a duty.
+    ///
+    /// The command gets the holding's fencing number as VIOLETWIND_FENCE, which whoever takes its work has to
+    /// check. It gets SIGTERM when the duty is lost, and SIGKILL before the lease ends. Exit codes: the
+    /// command's own; 75 the duty is not held there; 76 lost while it ran; 69 no proxy answers; 71 the
+    /// command can't be started.
+    Hold(Hold),
     /// Print completions for a shell.
     Completions { shell: Shell },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum Fleet {
+    /// Who leads, who is a member, and who holds which duty with which number.
+    Status {
+        #[command(flatten)]
+        at: At,
+        /// The proxy's own line instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Let a member in that has a new directory, or that was put out.
+    LetIn {
+        node: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Have a member hold nothing and vote no more until it is let in.
+    PutOut {
+        node: String,
+        #[command(flatten)]
+        at: At,
+    },
+    /// Have the holder of a duty hand it on.
+    HandOn {
+        duty: String,
+        /// To whom; without it to whoever holds the fewest.
+        #[arg(long, value_name = "NODE")]
+        to: Option<String>,
+        #[command(flatten)]
+        at: At,
+    },
+}
+
+#[derive(Debug, Args)]
+pub struct At {
+    /// The address for operators of a proxy.
+    #[arg(long = "at", value_name = "ADDR", env = "VIOLETWIND_AT")]
+    pub at: SocketAddr,
+}
+
+#[derive(Debug, Args)]
+pub struct Hold {
+    pub duty: String,
+    #[command(flatten)]
+    pub at: At,
+    /// Wait until the duty is held there instead of ending with 75.
+    #[arg(long)]
+    pub wait: bool,
+    /// Between SIGTERM and SIGKILL at most; less if the lease ends before.
+    #[arg(long, value_name = "SECONDS", default_value_t = 1.0)]
+    pub grace: f64,
+    /// The command and its arguments.
+    #[arg(last = true, required = true)]
+    pub command: Vec<String>,
+}
+
 #[derive(Debug, Default, Args)]
 struct Run {
     /// The operator's file.
@@ -99,14 +168,7 @@
                     environment: false,
                 };
                 Wanted::Done(match layers.read() {
-                    Ok(operator) => {
-                        println!(
-                            "{}: sound, {} sources",
-                            file.display(),
-                            operator.sources.len()
-                        );
-                        ExitCode::SUCCESS
-                    }
+                    Ok(operator) => sound(&file, &operator),
                     Err(problems) => {
                         problems.iter().for_each(|problem| println!("{problem}"));
                         ExitCode::FAILURE
@@ -121,6 +183,8 @@
                 };
                 Wanted::Done(show::catalogue(&layers, json))
             }
+            Some(Command::Fleet(command)) => Wanted::Done(staff::fleet(command)),
+            Some(Command::Hold(hold)) => Wanted::Done(staff::hold(&hold)),
             Some(Command::Completions { shell }) => {
                 let mut command = Self::command();
                 clap_complete::generate(shell, &mut command, "violetwind", &mut std::io::stdout());
@@ -130,6 +194,38 @@
     }
 }
 
+/// The last word of a check, and what needs this proxy's own name.
+fn sound(file: &Path, operator: &Operator) -> ExitCode {
+    let name = file.display();
+    if let Some(fleet) = &operator.fleet {
+        let node = std::env::var("NODE_NAME")
+            .ok()
+            .filter(|node| !node.is_empty());
+        match node.as_deref().map(|node| fleet.fits(node)) {
+            Some(Err(what)) => {
+                println!("{name}: {what}");
+                return ExitCode::FAILURE;
+            }
+            Some(Ok(())) => {}
+            None => println!(
+                "{name}: warning: without NODE_NAME its own place among the peers is not checked"
+            ),
+        }
+        for warning in &fleet.warnings {
+            println!("{name}: warning: {warning}");
+        }
+        println!(
+            "{name}: fleet \"{}\", {} peers of whom {} vote, {} duties",
+            fleet.name,
+            fleet.peers.len(),
+            fleet.voters().count(),
+            fleet.duties.len()
+        );
+    }
+    println!("{name}: sound, {} sources", operator.sources.len());
+    ExitCode::SUCCESS
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/proxy/src/fleet/frames.rs
+++ b/crates/proxy/src/fleet/frames.rs
@@ -26,7 +26,9 @@
 }
 
 pub fn codec(frame_bytes: usize) -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(frame_bytes).new_codec()
+    LengthDelimitedCodec::builder()
+        .max_frame_length(frame_bytes)
+        .new_codec()
 }
 
 fn summed(mut bytes: Vec<u8>) -> Bytes {
@@ -36,7 +38,9 @@
 }
 
 fn checked(frame: &BytesMut) -> Result<&[u8], String> {
-    let (crc, rest) = frame.split_first_chunk::<4>().ok_or("a frame without a checksum")?;
+    let (crc, rest) = frame
+        .split_first_chunk::<4>()
+        .ok_or("a frame without a checksum")?;
     match u32::from_le_bytes(*crc) == crc32fast::hash(rest) {
         true => Ok(rest),
         false => Err("a frame whose checksum differs".into()),
@@ -53,10 +57,14 @@
 /// # Errors
 /// No member of any fleet, or one of another version.
 pub fn read_first(frame: &BytesMut) -> Result<First, String> {
-    let rest = checked(frame)?.strip_prefix(MAGIC).ok_or("no member of a fleet speaks here")?;
+    let rest = checked(frame)?
+        .strip_prefix(MAGIC)
+        .ok_or("no member of a fleet speaks here")?;
     match rest.split_first() {
         Some((&VERSION, rest)) => postcard::from_bytes(rest).map_err(|error| error.to_string()),
-        Some((version, _)) => Err(format!("it speaks version {version}, this program {VERSION}")),
+        Some((version, _)) => Err(format!(
+            "it speaks version {version}, this program {VERSION}"
+        )),
         None => Err("it tells no version".into()),
     }
 }
@@ -77,7 +85,9 @@
 pub fn read_peer(frame: &BytesMut) -> Result<Option<Peer>, String> {
     match checked(frame)? {
         [] => Ok(None),
-        rest => postcard::from_bytes(rest).map(Some).map_err(|error| format!("a frame: {error}")),
+        rest => postcard::from_bytes(rest)
+            .map(Some)
+            .map_err(|error| format!("a frame: {error}")),
     }
 }
 
--- /dev/null
+++ b/crates/proxy/src/fleet/mod.rs
@@ -0,0 +1,417 @@
+//! This proxy as a member of a fleet, on a thread of its own: sockets to peers (`links`), the directory
+//! (`store`), timers, operators' calls. It decides nothing: `violetwind_fleet` does. Neither the disk nor a
+//! peer is ever waited for on the engine's thread, and without `[fleet]` there is no thread.
+
+mod frames;
+mod links;
+pub mod settings;
+mod store;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::rc::Rc;
+use std::thread;
+
+use rustix::time::{ClockId, clock_gettime};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use tracing::{error, info, warn};
+use violetwind_consensus::NodeId;
+use violetwind_fleet::{
+    Answer, Call, Config, Event, Input, Member, Name, Number, Output, Record, Saved,
+};
+
+use self::links::Links;
+use self::settings::Settings;
+use self::store::{Fault, Records, Store, Told};
+
+/// Milliseconds of a clock that does not go back and that goes on while the machine sleeps: the same for all
+/// processes of a machine.
+pub fn mono_ms() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as u64 * 1000 + now.tv_nsec as u64 / 1_000_000
+}
+
+enum Word {
+    /// Take part, from now on.
+    Begin,
+    /// Hand everything on, then stay away until told to begin again.
+    Quit,
+    Call(Call, oneshot::Sender<Answer>),
+}
+
+/// The way to the fleet's thread.
+#[derive(Clone)]
+pub struct Fleet {
+    words: mpsc::Sender<Word>,
+    /// Whether it takes part, or still hands on.
+    busy: watch::Receiver<bool>,
+}
+
+impl Fleet {
+    /// Starts the thread, which waits for [`Fleet::begin`].
+    ///
+    /// # Errors
+    /// The thread can't be started, or the section does not fit this proxy.
+    pub fn start(settings: Settings, node: &str) -> io::Result<Self> {
+        settings.fits(node).map_err(io::Error::other)?;
+        for warning in &settings.warnings {
+            warn!(warning, "fleet");
+        }
+        let (words, inbox) = mpsc::channel(settings.links.calls);
+        let (is_busy, busy) = watch::channel(false);
+        let node = node.to_string();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        thread::Builder::new().name("fleet".into()).spawn(move || {
+            let tasks = tokio::task::LocalSet::new();
+            tasks.block_on(&runtime, live(settings, node, inbox, is_busy));
+            runtime.shutdown_background();
+        })?;
+        Ok(Self { words, busy })
+    }
+
+    pub fn begin(&self) {
+        // A thread that does not take a word has ended, or as many wait as may: calls fail then.
+        let _ = self.words.try_send(Word::Begin);
+    }
+
+    pub fn quit(&self) {
+        let _ = self.words.try_send(Word::Quit);
+    }
+
+    pub fn busy(&self) -> bool {
+        *self.busy.borrow()
+    }
+
+    /// # Errors
+    /// The member has ended, or too many calls wait.
+    pub async fn call(&self, call: Call) -> Result<Answer, String> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.words.try_send(Word::Call(call, reply));
+        sent.map_err(|_| "the fleet's thread takes no calls".to_string())?;
+        answer
+            .await
+            .map_err(|_| "this proxy does not take part in the fleet now".to_string())
+    }
+}
+
+/// Why a member is over.
+enum Over {
+    Quit,
+    /// The directory is an older copy of itself.
+    Stale,
+    Failed(String),
+    /// The program ends.
+    Dropped,
+}
+
+/// Takes part whenever it is told to, for as long as the program runs.
+async fn live(
+    settings: Settings,
+    node: Name,
+    mut words: mpsc::Receiver<Word>,
+    busy: watch::Sender<bool>,
+) {
+    let settings = Rc::new(settings);
+    let mut begin = false;
+    loop {
+        busy.send_replace(begin);
+        if !begin {
+            match words.recv().await {
+                Some(Word::Begin) => begin = true,
+                Some(Word::Quit) => {}
+                Some(Word::Call(_, reply)) => drop(reply),
+                None => return,
+            }
+            continue;
+        }
+        match take_part(&settings, &node, &mut words).await {
+            Over::Quit => begin = false,
+            Over::Dropped => return,
+            // Set aside: it comes back as a stranger.
+            Over::Stale => {}
+            Over::Failed(why) => {
+                error!(
+                    why,
+                    mono_ms = mono_ms(),
+                    "this proxy takes no part in the fleet until it is restarted; it serves on"
+                );
+                busy.send_replace(false);
+                // Nothing that is wrong with a disk goes away by being tried again.
+                while let Some(word) = words.recv().await {
+                    drop(word);
+                }
+                return;
+            }
+        }
+    }
+}
+
+/// Opens what another process may still use; none if told to quit meanwhile.
+async fn open<T>(
+    settings: &Settings,
+    words: &mut mpsc::Receiver<Word>,
+    mut open: impl FnMut() -> Result<T, (bool, String)>,
+) -> Result<T, Over> {
+    let mut said = false;
+    loop {
+        match open() {
+            Ok(opened) => return Ok(opened),
+            Err((true, why)) => {
+                if !std::mem::replace(&mut said, true) {
+                    info!(why, "the fleet is joined once that is free");
+                }
+            }
+            Err((false, why)) => return Err(Over::Failed(why)),
+        }
+        tokio::select! {
+            () = sleep(settings.links.retry) => {}
+            word = words.recv() => match word {
+                None => return Err(Over::Dropped),
+                Some(Word::Quit) => return Err(Over::Quit),
+                Some(Word::Begin | Word::Call(..)) => {}
+            }
+        }
+    }
+}
+
+async fn take_part(settings: &Rc<Settings>, node: &str, words: &mut mpsc::Receiver<Word>) -> Over {
+    let store = match &settings.dir {
+        None => None,
+        Some(dir) => {
+            let opened = open(settings, words, || {
+                let fresh = NodeId(rand::random::<u64>().max(1));
+                let (bytes, sync) = (settings.links.segment_bytes, settings.sync);
+                Store::open(dir, (&settings.name, node), fresh, bytes, sync)
+                    .map_err(|fault| (matches!(fault, Fault::InUse { .. }), fault.to_string()))
+            });
+            match opened.await {
+                Ok(store) => Some(store),
+                Err(over) => return over,
+            }
+        }
+    };
+    let listener = open(settings, words, || {
+        links::listen(settings.listen).map_err(|error| {
+            let in_use = error.kind() == io::ErrorKind::AddrInUse;
+            (in_use, format!("fleet.listen {}: {error}", settings.listen))
+        })
+    });
+    let listener = match listener.await {
+        Ok(listener) => listener,
+        Err(over) => return over,
+    };
+    let saved = store.as_ref().map(|store| store.saved().clone());
+    let id = saved.as_ref().map(|saved| saved.id);
+    let (inbox, mut inputs) = mpsc::channel(settings.links.inbox);
+    let links = Links::new(settings, node, id, inbox.clone());
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(links.clone().accept(listener));
+    for peer in settings.voters().filter(|peer| peer.node != node) {
+        tasks.spawn_local(links.clone().dial(peer.clone()));
+    }
+    let (told, mut disk) = mpsc::unbounded_channel();
+    let disk_thread = match store.map(|store| {
+        store::run(
+            store,
+            move |word| drop(told.send(word)),
+            settings.links.retry,
+        )
+    }) {
+        None => None,
+        Some(Ok(running)) => Some(running),
+        Some(Err(error)) => return Over::Failed(format!("the disk's thread: {error}")),
+    };
+    info!(fleet = settings.name, node, listen = %settings.listen, id = id.map(|id| format!("{:x}", id.0)),
+        mono_ms = mono_ms(), "this proxy takes part in a fleet");
+    let records = disk_thread.as_ref().map(|(records, _)| records.clone());
+    let mut part = Part::new(settings, node, saved, links, records);
+    let mut ticks = interval(settings.links.tick);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut dropped = false;
+    while part.over.is_none() {
+        tokio::select! {
+            _ = ticks.tick() => part.handle(Input::Tick),
+            Some(input) = inputs.recv() => part.handle(input),
+            Some(word) = disk.recv() => match word {
+                Told::Saved(number) => part.saved(number),
+                Told::Failed(why) => part.over = Some(Over::Failed(why)),
+            },
+            word = words.recv(), if !dropped => match word {
+                None => {
+                    // The program ends without a word to anybody: the lease runs out.
+                    dropped = true;
+                    part.over = Some(Over::Dropped);
+                }
+                Some(Word::Begin) => {}
+                Some(Word::Quit) => part.handle(Input::Quit),
+                Some(Word::Call(call, reply)) => part.call(call, reply),
+            },
+        }
+    }
+    let over = part.over.take().unwrap_or(Over::Quit);
+    // The last frames have a moment to go.
+    if matches!(over, Over::Quit) {
+        sleep(settings.links.tick).await;
+    }
+    tasks.shutdown().await;
+    drop(part);
+    let Some((records, thread)) = disk_thread else {
+        return over;
+    };
+    drop(records);
+    let store = tokio::task::spawn_blocking(move || thread.join()).await;
+    match (over, store) {
+        (Over::Stale, Ok(Ok(store))) => match store.set_aside("stale") {
+            Ok(aside) => {
+                warn!(aside = %aside.display(), "the older copy is put aside; this member is a stranger until it is let in");
+                Over::Stale
+            }
+            Err(fault) => Over::Failed(fault.to_string()),
+        },
+        (over, _) => over,
+    }
+}
+
+/// A member, and the ways to what is around it.
+struct Part {
+    member: Member,
+    links: Rc<Links>,
+    records: Option<Records>,
+    /// Records on the way to the disk, and their sizes.
+    unsynced: VecDeque<(Number, usize)>,
+    unsynced_bytes: usize,
+    unsynced_most: usize,
+    calls: BTreeMap<Number, oneshot::Sender<Answer>>,
+    next_call: Number,
+    over: Option<Over>,
+}
+
+impl Part {
+    fn new(
+        settings: &Settings,
+        node: &str,
+        saved: Option<Saved>,
+        links: Rc<Links>,
+        records: Option<Records>,
+    ) -> Self {
+        let config = Config {
+            node: node.to_string(),
+            peers: settings
+                .peers
+                .iter()
+                .map(|peer| (peer.node.clone(), peer.votes))
+                .collect(),
+            duties: settings.duties.clone(),
+            limits: settings.limits.clone(),
+        };
+        // The two highest bits are left free for counting on from it.
+        let seed = rand::random::<u64>() >> 2;
+        Self {
+            member: Member::new(config, saved, seed, mono_ms()),
+            links,
+            records,
+            unsynced: VecDeque::new(),
+            unsynced_bytes: 0,
+            unsynced_most: settings.links.unsynced_bytes,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            over: None,
+        }
+    }
+
+    fn call(&mut self, call: Call, reply: oneshot::Sender<Answer>) {
+        self.next_call += 1;
+        self.calls.retain(|_, reply| !reply.is_closed());
+        self.calls.insert(self.next_call, reply);
+        self.handle(Input::Call(self.next_call, call));
+    }
+
+    fn saved(&mut self, number: Number) {
+        while let Some((_, bytes)) = self.unsynced.pop_front_if(|(at, _)| *at <= number) {
+            self.unsynced_bytes -= bytes;
+        }
+        self.handle(Input::Saved(number));
+    }
+
+    fn handle(&mut self, input: Input) {
+        for output in self.member.handle(mono_ms(), input) {
+            match output {
+                Output::Send(to, peer) => self.links.send(&to, &peer),
+                Output::Save(number, record) => self.save(number, record),
+                Output::Answer(number, answer) => {
+                    if let Some(reply) = self.calls.remove(&number) {
+                        // A caller that has gone needs none.
+                        let _ = reply.send(answer);
+                    }
+                }
+                Output::Event(event) => self.event(event),
+                Output::Ended => self.over = Some(Over::Quit),
+            }
+        }
+    }
+
+    fn save(&mut self, number: Number, record: Record) {
+        let bytes = match &record {
+            Record::Write(write) => {
+                let snapshot = write
+                    .snapshot
+                    .as_ref()
+                    .map_or(0, |snapshot| snapshot.data.len());
+                64 + snapshot
+                    + write
+                        .append
+                        .iter()
+                        .map(|entry| entry.bytes())
+                        .sum::<usize>()
+            }
+            Record::Agreed(_) | Record::Formed => 64,
+        };
+        self.unsynced.push_back((number, bytes));
+        self.unsynced_bytes += bytes;
+        if self.unsynced_bytes > self.unsynced_most {
+            let why = format!("{} bytes wait for the disk", self.unsynced_bytes);
+            self.over = Some(Over::Failed(why));
+            return;
+        }
+        if let Some(records) = &self.records {
+            // Its thread tells itself why it ended.
+            let _ = records.send((number, record));
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let mono_ms = mono_ms();
+        match event {
+            Event::Gained { duty, fence } => info!(duty, fence, mono_ms, "duty gained"),
+            Event::Lost { duty, fence, why } => info!(duty, fence, mono_ms, %why, "duty lost"),
+            Event::Session { number } => info!(session = number, mono_ms, "session"),
+            Event::NoSession { why } => info!(mono_ms, %why, "no session: nothing is held"),
+            Event::Leads { term } => info!(term, mono_ms, "this member leads the fleet"),
+            Event::Follows { term } => info!(
+                term,
+                mono_ms, "this member does not lead the fleet any more"
+            ),
+            Event::Formed { voters } => info!(?voters, mono_ms, "the fleet is formed"),
+            Event::Stranger { id } => {
+                let id = format!("{:x}", id.0);
+                warn!(
+                    id,
+                    mono_ms, "the fleet knows another directory under this name: let this one in"
+                );
+            }
+            Event::Stale { own, seen } => {
+                error!(
+                    own,
+                    seen, mono_ms, "the directory is an older copy of itself: it never votes again"
+                );
+                self.over = Some(Over::Stale);
+            }
+            Event::Ended { name, why } => info!(member = name, mono_ms, %why, "a session is over"),
+            Event::Full { what } => warn!(what, mono_ms, "at a limit of the fleet"),
+        }
+    }
+}
--- a/crates/proxy/src/fleet/settings.rs
+++ b/crates/proxy/src/fleet/settings.rs
@@ -150,8 +150,7 @@
         links.accepted = section.int("links", 1..=4096, links.accepted as u64) as usize;
         links.queue_bytes =
             section.int("queue_bytes", 65_536..=1 << 30, links.queue_bytes as u64) as usize;
-        links.segment_bytes =
-            section.int("segment_bytes", 65_536..=1 << 40, links.segment_bytes);
+        links.segment_bytes = section.int("segment_bytes", 65_536..=1 << 40, links.segment_bytes);
         let name = checked(section, "name");
         let unset = SocketAddr::from(([127, 0, 0, 1], 0));
         let address = |section: &Section<'_>, key: &str| {
@@ -166,7 +165,9 @@
         let sync = section.flag("sync", true);
         let mut warnings = Vec::new();
         if !sync {
-            warnings.push("`fleet.sync` is off: what is acknowledged is lost with the machine's power".into());
+            warnings.push(
+                "`fleet.sync` is off: what is acknowledged is lost with the machine's power".into(),
+            );
         }
         let (mut names, mut addresses) = (BTreeSet::new(), BTreeSet::new());
         let mut peers = Vec::new();
@@ -187,7 +188,10 @@
         }
         let voters = peers.iter().filter(|peer| peer.votes).count();
         match voters {
-            0 => section.wrong("peer", "nobody votes: 1, 3, 5 or 7 peers with `votes = true`"),
+            0 => section.wrong(
+                "peer",
+                "nobody votes: 1, 3, 5 or 7 peers with `votes = true`",
+            ),
             _ if voters > VOTERS => {
                 section.wrong("peer", format!("{voters} voters, {VOTERS} at most"));
             }
@@ -206,10 +210,23 @@
             }
         }
         if duties.len() > Caps::DUTIES {
-            section.wrong("duty", format!("{} duties, {} at most", duties.len(), Caps::DUTIES));
+            section.wrong(
+                "duty",
+                format!("{} duties, {} at most", duties.len(), Caps::DUTIES),
+            );
         }
         let duties = duties.into_iter().collect();
-        Self { name, listen, dir, sync, peers, duties, limits, links, warnings }
+        Self {
+            name,
+            listen,
+            dir,
+            sync,
+            peers,
+            duties,
+            limits,
+            links,
+            warnings,
+        }
     }
 }
 
@@ -217,8 +234,12 @@
 fn checked(section: &Section<'_>, key: &str) -> Name {
     let name = section.need_text(key);
     let plain = |c: char| c.is_ascii_alphanumeric() || "-_.:".contains(c);
-    if section.has(key) && (name.is_empty() || name.len() > Caps::NAME || !name.chars().all(plain)) {
-        section.wrong(key, "expected up to 64 letters, digits, `-`, `_`, `.` and `:`");
+    if section.has(key) && (name.is_empty() || name.len() > Caps::NAME || !name.chars().all(plain))
+    {
+        section.wrong(
+            key,
+            "expected up to 64 letters, digits, `-`, `_`, `.` and `:`",
+        );
     }
     name
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -11,6 +11,7 @@
 mod config;
 mod discovery;
 mod first_lines;
+mod fleet;
 mod handover;
 mod limits;
 mod line;
@@ -29,6 +30,7 @@
 mod show;
 mod shutdown;
 mod sources;
+mod staff;
 mod take_in;
 
 use std::io;
@@ -48,6 +50,7 @@
 use crate::config::{Config, InForce, Reports};
 use crate::discovery::Tells;
 use crate::first_lines::FirstLines;
+use crate::fleet::Fleet;
 use crate::handover::{Before, Side};
 use crate::limits::{Descriptors, Limits};
 use crate::operator::{Layers, Operator};
@@ -189,12 +192,17 @@
         None => None,
     };
     let told = (before.bans, before.left, before.discovery);
+    let fleet = match &operator.fleet {
+        Some(settings) => Some(Fleet::start(settings.clone(), &config.name)?),
+        None => None,
+    };
     let service = Service::new(
         &limits,
         notices.clone(),
         is_ready.clone(),
         dir.clone(),
         told,
+        fleet,
     );
     let engine_too = notices.clone();
     let shared = Shared::new(
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -12,6 +12,7 @@
 use violetwind_consul::{Api, Field, Identity, Rules, Settings};
 
 use crate::config::read_file;
+use crate::fleet::settings::Settings as Fleet;
 use crate::limits::Limits;
 
 /// Variables that begin so go over the file.
@@ -36,6 +37,8 @@
     pub sources: Vec<Source>,
     /// Requests are recorded there.
     pub record: Option<Recorded>,
+    /// The fleet that this proxy is a member of.
+    pub fleet: Option<Fleet>,
     over: Over,
 }
 
@@ -138,6 +141,7 @@
         let section_of_record = root.section("record");
         let record = record(&section_of_record);
         section_of_record.finish();
+        let fleet = Fleet::read(root);
         let zones = Rc::new(root.names("zones"));
         let mut sources = Vec::new();
         let mut names = BTreeSet::new();
@@ -168,6 +172,7 @@
             catalogue,
             sources,
             record,
+            fleet,
             over,
         }
     }
@@ -186,6 +191,12 @@
         set(&mut limits.list_rows, over.list_rows);
         set(&mut limits.list_bytes, over.list_bytes);
         set(&mut limits.log_lines, over.log_lines);
+        if let Some(fleet) = &self.fleet {
+            limits.descriptors = limits
+                .descriptors
+                .saturating_sub(fleet.descriptors())
+                .max(2);
+        }
     }
 
     /// The sections of another reading that differ and that only a restart takes up.
@@ -195,6 +206,7 @@
         note("log", (self.level, self.json) != (other.level, other.json));
         note("limits", self.over != other.over);
         note("record", self.record != other.record);
+        note("fleet", self.fleet != other.fleet);
         note("catalogue", self.catalogue != other.catalogue);
         // The catalogue is set up at the start, or not at all.
         note(
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -12,9 +12,11 @@
 use tokio::time::timeout;
 use tracing::{info, warn};
 use violetwind_engine::{Binding, Notice, Reply};
-use violetwind_service::call::Call;
+use violetwind_fleet as fleet;
+use violetwind_service::call::{self, Call};
 use violetwind_service::{Bans, Change, handover};
 
+use crate::fleet::Fleet;
 use crate::handover::Given;
 use crate::limits::Limits;
 
@@ -49,6 +51,7 @@
     next_other: Cell<u64>,
     /// The way for connections to a successor that serves.
     heir: RefCell<Option<mpsc::Sender<Given>>>,
+    fleet: Option<Fleet>,
 }
 
 impl Service {
@@ -58,6 +61,7 @@
         ready: watch::Receiver<bool>,
         dir: Option<PathBuf>,
         (bans, left, discovery): (Bans, bool, Option<SocketAddr>),
+        fleet: Option<Fleet>,
     ) -> Rc<Self> {
         Rc::new(Self {
             limits: limits.clone(),
@@ -71,6 +75,7 @@
             others: RefCell::default(),
             next_other: Cell::default(),
             heir: RefCell::default(),
+            fleet,
         })
     }
 
@@ -83,8 +88,21 @@
         self.stand.get()
     }
 
+    /// One process of an upgrade takes part in the fleet: the one that serves.
     pub fn set_stand(&self, stand: Stand) {
         self.stand.set(stand);
+        if let Some(fleet) = &self.fleet {
+            match stand {
+                Stand::Starting => {}
+                Stand::Serving => fleet.begin(),
+                Stand::Succeeded | Stand::Ending => fleet.quit(),
+            }
+        }
+    }
+
+    /// Whether duties are still to be handed on.
+    pub fn hands_on(&self) -> bool {
+        self.fleet.as_ref().is_some_and(Fleet::busy)
     }
 
     pub fn bans(&self) -> Bans {
@@ -126,6 +144,7 @@
             match call {
                 Call::Health => service.health().await,
                 Call::Change(change) => service.change(change).await,
+                Call::Fleet(call) => service.fleet(call).await,
             }
         });
         match timeout(self.limits.call_answer, task).await {
@@ -136,6 +155,32 @@
         }
     }
 
+    async fn fleet(&self, call: call::Fleet) -> Result<String, String> {
+        let Some(fleet) = &self.fleet else {
+            return Err(call::Fault::Unknown.to_string());
+        };
+        let call = match call {
+            call::Fleet::Show => fleet::Call::View,
+            call::Fleet::LetIn(node) => fleet::Call::Order(fleet::Order::LetIn { node }),
+            call::Fleet::PutOut(node) => fleet::Call::Order(fleet::Order::PutOut { node }),
+            call::Fleet::HandOn { duty, to } => {
+                fleet::Call::Order(fleet::Order::HandOn { duty, to })
+            }
+            call::Fleet::Hold { duty, token } => fleet::Call::Hold { duty, token },
+            call::Fleet::Done { duty, token } => fleet::Call::Done { duty, token },
+        };
+        match fleet.call(call).await? {
+            fleet::Answer::View(view) => {
+                serde_json::to_string(&view).map_err(|error| error.to_string())
+            }
+            fleet::Answer::Done => Ok("done".into()),
+            fleet::Answer::Held { fence, left } => {
+                Ok(serde_json::json!({"fence": fence, "left_ms": left}).to_string())
+            }
+            fleet::Answer::NotHeld(why) | fleet::Answer::Refused(why) => Err(why),
+        }
+    }
+
     async fn health(&self) -> Result<String, String> {
         match self.stand() {
             Stand::Starting => return Err("starting".into()),
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -42,7 +42,8 @@
     let (from, until) = (asked + limits.term_least, asked + term.exit);
     sleep_until(from).await;
     // One is always held by the listener for the next client.
-    while Instant::now() < until && (requests.in_use() > 0 || first_lines.held() > 1) {
+    let busy = || requests.in_use() > 0 || first_lines.held() > 1 || service.hands_on();
+    while Instant::now() < until && busy() {
         tokio::time::sleep(limits.engine.spread_tick).await;
     }
     info!(
--- /dev/null
+++ b/crates/proxy/src/staff.rs
@@ -0,0 +1,247 @@
+//! What staff do about the fleet from a shell, by calls at a proxy's address for operators.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::process::{CommandExt, ExitStatusExt};
+use std::process::{Child, Command, ExitCode};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process_group};
+use serde_json::Value;
+
+use crate::cli::{Fleet, Hold};
+
+/// An answer is due within 1 s; it holds a whole fleet at most.
+const PATIENCE: Duration = Duration::from_millis(1500);
+const ANSWER: u64 = 4 << 20;
+/// How often a held duty is asked about, and one that is waited for.
+const POLL: Duration = Duration::from_millis(50);
+
+const NOT_HELD: u8 = 75;
+const LOST: u8 = 76;
+const NO_PROXY: u8 = 69;
+const NO_COMMAND: u8 = 71;
+
+enum Said {
+    Yes(String),
+    No(String),
+}
+
+fn call(at: SocketAddr, line: &str) -> Result<Said, String> {
+    let call = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&at, PATIENCE)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.set_write_timeout(Some(PATIENCE))?;
+        stream.write_all(format!("{line}\n").as_bytes())?;
+        let mut answer = String::new();
+        BufReader::new(stream.take(ANSWER)).read_line(&mut answer)?;
+        Ok(answer)
+    };
+    let answer = call().map_err(|error| format!("{at}: {error}"))?;
+    let answer = answer.trim_end();
+    match answer.split_at_checked(4) {
+        Some(("200 ", word)) => Ok(Said::Yes(word.to_string())),
+        Some(("400 ", why)) => Ok(Said::No(why.to_string())),
+        _ => Err(format!("{at}: \"{answer}\" is no answer")),
+    }
+}
+
+/// Carries out one of `violetwind fleet …`: 0 yes, 1 no, 69 nobody answers.
+pub fn fleet(command: Fleet) -> ExitCode {
+    let (at, line, table) = match command {
+        Fleet::Status { at, json } => (at, "FLEET".to_string(), !json),
+        Fleet::LetIn { node, at } => (at, format!("FLEET LET-IN {node}"), false),
+        Fleet::PutOut { node, at } => (at, format!("FLEET PUT-OUT {node}"), false),
+        Fleet::HandOn { duty, to, at } => {
+            let to = to.unwrap_or_default();
+            (at, format!("FLEET HAND-ON {duty} {to}"), false)
+        }
+    };
+    match call(at.at, &line) {
+        Ok(Said::Yes(word)) if table => match serde_json::from_str(&word) {
+            Ok(view) => {
+                print!("{}", shown(&view));
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("violetwind: {}: {error}", at.at);
+                ExitCode::FAILURE
+            }
+        },
+        Ok(Said::Yes(word)) => {
+            println!("{word}");
+            ExitCode::SUCCESS
+        }
+        Ok(Said::No(why)) => {
+            eprintln!("violetwind: {why}");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("violetwind: {error}");
+            ExitCode::from(NO_PROXY)
+        }
+    }
+}
+
+fn shown(view: &Value) -> String {
+    let word = |value: &Value| match value {
+        Value::Null => "-".to_string(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    let majority = if view["majority"] == true {
+        ""
+    } else {
+        ", no majority"
+    };
+    let mut out = format!(
+        "leader {}, term {}, commit {}{majority}\n",
+        word(&view["leader"]),
+        view["term"],
+        view["commit"]
+    );
+    if let Some(why) = view["why"].as_str() {
+        out += &format!("{why}\n");
+    }
+    let mut table = |head: [&str; 4], list: &Value, keys: [&str; 4]| {
+        let mut rows = vec![head.map(str::to_string)];
+        let list = list.as_array().into_iter().flatten();
+        rows.extend(list.map(|row| keys.map(|key| word(&row[key]))));
+        let widths: Vec<usize> = (0..4)
+            .map(|at| rows.iter().map(|row| row[at].len()).max().unwrap_or(0))
+            .collect();
+        out.push('\n');
+        for row in rows {
+            let cells: Vec<String> = row
+                .iter()
+                .zip(&widths)
+                .map(|(cell, width)| format!("{cell:width$}"))
+                .collect();
+            out += cells.join("  ").trim_end();
+            out.push('\n');
+        }
+    };
+    table(
+        ["NODE", "VOTES", "STATE", "SINCE MS"],
+        &view["members"],
+        ["node", "votes", "state", "since_ms"],
+    );
+    table(
+        ["DUTY", "HOLDER", "FENCE", "HERE"],
+        &view["duties"],
+        ["name", "holder", "fence", "mine"],
+    );
+    out
+}
+
+/// A holding as it was last told: nobody else holds the duty until then.
+#[derive(Clone, Copy)]
+struct Held {
+    fence: u64,
+    until: Instant,
+}
+
+enum Asked {
+    Held(Held),
+    NotHeld(String),
+    Silent(String),
+}
+
+fn ask(hold: &Hold, token: &str) -> Asked {
+    // Counted from before it is asked.
+    let asked = Instant::now();
+    match call(hold.at.at, &format!("FLEET HOLD {} {token}", hold.duty)) {
+        Ok(Said::Yes(word)) => {
+            let told: Value = serde_json::from_str(&word).unwrap_or_default();
+            match (told["fence"].as_u64(), told["left_ms"].as_u64()) {
+                (Some(fence), Some(left)) => Asked::Held(Held {
+                    fence,
+                    until: asked + Duration::from_millis(left),
+                }),
+                _ => Asked::Silent(format!("\"{word}\" is no holding")),
+            }
+        }
+        Ok(Said::No(why)) => Asked::NotHeld(why),
+        Err(error) => Asked::Silent(error),
+    }
+}
+
+/// Runs a command while a duty is held at a proxy.
+pub fn hold(hold: &Hold) -> ExitCode {
+    let token = format!("{:016x}", rand::random::<u64>());
+    let mut said = false;
+    let held = loop {
+        let (why, code) = match ask(hold, &token) {
+            Asked::Held(held) => break held,
+            Asked::NotHeld(why) => (why, NOT_HELD),
+            Asked::Silent(why) => (why, NO_PROXY),
+        };
+        if !hold.wait {
+            eprintln!("violetwind: {}: {why}", hold.duty);
+            return ExitCode::from(code);
+        }
+        if !std::mem::replace(&mut said, true) {
+            eprintln!("violetwind: {}: {why}; waiting", hold.duty);
+        }
+        sleep(POLL);
+    };
+    let (program, arguments) = hold.command.split_first().expect("clap asks for one");
+    let child = Command::new(program)
+        .args(arguments)
+        .env("VIOLETWIND_FENCE", held.fence.to_string())
+        .env("VIOLETWIND_DUTY", &hold.duty)
+        .process_group(0)
+        .spawn();
+    let code = match child {
+        Ok(child) => watch(hold, &token, held, child),
+        Err(error) => {
+            eprintln!("violetwind: {program}: {error}");
+            ExitCode::from(NO_COMMAND)
+        }
+    };
+    // A proxy that has gone needs no word.
+    let _ = call(hold.at.at, &format!("FLEET DONE {} {token}", hold.duty));
+    code
+}
+
+/// Goes with the command until it has ended, or the duty is lost.
+fn watch(hold: &Hold, token: &str, mut held: Held, mut child: Child) -> ExitCode {
+    let group = Pid::from_child(&child);
+    let grace = Duration::from_secs_f64(hold.grace.clamp(0.0, 3600.0));
+    let fence = held.fence;
+    let lost = loop {
+        match child.try_wait() {
+            Ok(Some(status)) => {
+                let code = status.code().unwrap_or(128 + status.signal().unwrap_or(0));
+                return ExitCode::from(code as u8);
+            }
+            Ok(None) => {}
+            Err(error) => break error.to_string(),
+        }
+        match ask(hold, token) {
+            Asked::Held(now) if now.fence == fence => held.until = held.until.max(now.until),
+            Asked::Held(now) => break format!("held anew with {}", now.fence),
+            Asked::NotHeld(why) => break why,
+            Asked::Silent(why) if Instant::now() + grace >= held.until => break why,
+            Asked::Silent(_) => {}
+        }
+        sleep(POLL);
+    };
+    let until = held.until.min(Instant::now() + grace);
+    eprintln!(
+        "violetwind: {} is lost: {lost}; the command has {:?}",
+        hold.duty,
+        until.saturating_duration_since(Instant::now())
+    );
+    let _ = kill_process_group(group, Signal::TERM);
+    while Instant::now() < until {
+        if !matches!(child.try_wait(), Ok(None)) {
+            return ExitCode::from(LOST);
+        }
+        sleep(Duration::from_millis(5));
+    }
+    let _ = kill_process_group(group, Signal::KILL);
+    let _ = child.wait();
+    ExitCode::from(LOST)
+}
--- a/crates/service/src/call.rs
+++ b/crates/service/src/call.rs
@@ -15,6 +15,28 @@
 pub enum Call {
     Health,
     Change(Change),
+    Fleet(Fleet),
+}
+
+/// What is asked of the fleet at one of its members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fleet {
+    Show,
+    LetIn(String),
+    PutOut(String),
+    HandOn {
+        duty: String,
+        to: Option<String>,
+    },
+    /// A program that `token` names works on a duty.
+    Hold {
+        duty: String,
+        token: String,
+    },
+    Done {
+        duty: String,
+        token: String,
+    },
 }
 
 /// What operators have changed; it binds a proxy and its successor alike.
@@ -35,6 +57,7 @@
     NoId,
     LongId,
     TooMany,
+    NoFleetCall,
 }
 
 impl fmt::Display for Fault {
@@ -46,6 +69,10 @@
             Self::NoId => "the id of a server is missing",
             Self::LongId => "the id is too long",
             Self::TooMany => "too many words",
+            Self::NoFleetCall => {
+                "after FLEET: nothing, LET-IN NODE, PUT-OUT NODE, HAND-ON DUTY [NODE], HOLD DUTY TOKEN or \
+                 DONE DUTY TOKEN"
+            }
         })
     }
 }
@@ -82,6 +109,9 @@
     let words: Vec<&str> = delimited(space0, separated(0.., word, space1), space0)
         .parse(text)
         .map_err(|_| Fault::Unknown)?;
+    if let Some((&"FLEET", rest)) = words.split_first() {
+        return fleet(rest, limits).map(Call::Fleet);
+    }
     let (verb, id) = match words[..] {
         [] => return Err(Fault::Unknown),
         [verb] => (verb, None),
@@ -106,3 +136,32 @@
         _ => Err(Fault::Unknown),
     }
 }
+
+fn fleet(words: &[&str], limits: &Limits) -> Result<Fleet, Fault> {
+    if words.iter().any(|word| word.len() > limits.id_bytes) {
+        return Err(Fault::LongId);
+    }
+    let own = |word: &str| word.to_string();
+    Ok(match *words {
+        [] => Fleet::Show,
+        ["LET-IN", node] => Fleet::LetIn(own(node)),
+        ["PUT-OUT", node] => Fleet::PutOut(own(node)),
+        ["HAND-ON", duty] => Fleet::HandOn {
+            duty: own(duty),
+            to: None,
+        },
+        ["HAND-ON", duty, to] => Fleet::HandOn {
+            duty: own(duty),
+            to: Some(own(to)),
+        },
+        ["HOLD", duty, token] => Fleet::Hold {
+            duty: own(duty),
+            token: own(token),
+        },
+        ["DONE", duty, token] => Fleet::Done {
+            duty: own(duty),
+            token: own(token),
+        },
+        _ => return Err(Fault::NoFleetCall),
+    })
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,10 +6,14 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+pub mod books;
 pub mod consul;
 pub mod http;
+pub mod members;
 mod peer;
+pub mod receiver;
 mod registry;
+pub mod relay;
 mod server;
 mod vanished;
 pub mod worker;
@@ -31,3 +35,10 @@
     let host = Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 64, id as u8, count);
     (host, 3000).into()
 }
+
+/// Milliseconds of the machine's clock that does not go back, the same for all its processes: the one that the
+/// program writes into its log.
+pub fn mono_ms() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec as u64 * 1000 + now.tv_nsec as u64 / 1_000_000
+}
--- /dev/null
+++ b/crates/standins/src/members.rs
@@ -0,0 +1,435 @@
+//! Several processes of the proxy as one fleet on loopback, with a relay for each way between two of them.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::books::{self, Record, What};
+use crate::relay::{Direction, Relay, Way};
+use crate::{Discovery, PATIENCE, Server, mono_ms, unused};
+
+#[derive(Clone, Debug)]
+pub struct Spec {
+    pub program: PathBuf,
+    pub voters: usize,
+    /// Members that never vote.
+    pub others: usize,
+    pub lease_ms: u64,
+    pub election_ms: u64,
+    pub duties: Vec<String>,
+    /// More lines for everybody's `[fleet]` section, and behind all of the file.
+    pub fleet_lines: String,
+    pub lines: String,
+}
+
+struct Process {
+    child: Option<Child>,
+    addr: SocketAddr,
+    management: SocketAddr,
+    listen: SocketAddr,
+    dir: PathBuf,
+}
+
+/// Ends all it has started when it is dropped.
+pub struct Members {
+    spec: Spec,
+    dir: PathBuf,
+    processes: Vec<Process>,
+    /// By who dials and who is dialled.
+    relays: BTreeMap<(usize, usize), Relay>,
+    logs: Arc<Mutex<Vec<(usize, String)>>>,
+    /// One server for all, and who lists it.
+    pub server: Server,
+    discovery: Discovery,
+    kills: Vec<Record>,
+}
+
+pub fn name(at: usize) -> String {
+    format!("node-{}", (b'a' + (at % 26) as u8) as char)
+        + &if at < 26 {
+            String::new()
+        } else {
+            (at / 26).to_string()
+        }
+}
+
+impl Members {
+    /// All of them started; nothing is waited for.
+    pub fn start(spec: Spec) -> Self {
+        static COUNT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let dir =
+            std::env::temp_dir().join(format!("violetwind-members-{}-{count}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).unwrap();
+        let server = Server::start("s-1");
+        let process = |at: usize| Process {
+            child: None,
+            addr: unused(),
+            management: unused(),
+            listen: unused(),
+            dir: dir.join(name(at)),
+        };
+        let processes: Vec<Process> = (0..spec.voters + spec.others).map(process).collect();
+        let mut relays = BTreeMap::new();
+        for from in 0..processes.len() {
+            for to in (0..spec.voters).filter(|to| *to != from) {
+                let relay = Relay::start(([127, 0, 0, 1], 0).into(), processes[to].listen).unwrap();
+                relays.insert((from, to), relay);
+            }
+        }
+        let mut members = Self {
+            spec,
+            dir,
+            processes,
+            relays,
+            logs: Arc::default(),
+            discovery: Discovery::start(&[server.target("ready")]),
+            server,
+            kills: Vec::new(),
+        };
+        for at in 0..members.processes.len() {
+            members.write_files(at);
+            members.run(at);
+        }
+        members
+    }
+
+    pub fn count(&self) -> usize {
+        self.processes.len()
+    }
+
+    pub fn addr(&self, at: usize) -> SocketAddr {
+        self.processes[at].addr
+    }
+
+    pub fn management(&self, at: usize) -> SocketAddr {
+        self.processes[at].management
+    }
+
+    pub fn listen(&self, at: usize) -> SocketAddr {
+        self.processes[at].listen
+    }
+
+    /// The directory of its log.
+    pub fn fleet_dir(&self, at: usize) -> PathBuf {
+        self.processes[at].dir.join("fleet")
+    }
+
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    fn write_files(&self, at: usize) {
+        let process = &self.processes[at];
+        std::fs::create_dir_all(&process.dir).unwrap();
+        let config = json!({
+            "name": name(at), "listen": process.addr.to_string(),
+            "management": process.management.to_string(),
+            "discovery": self.discovery.addr.to_string(), "seed": format!("{:016x}", 0x51b7 + at),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"rev": 0, "all": true, "targets": []},
+            "settings": {
+                "fleet-size": self.processes.len(), "me": at, "zone": "a", "azs": ["a"], "skus": ["m"],
+                "orgs": [],
+                "request-classes": [{"name": "watch", "idempotency": "pure", "deadline-s": 2.0,
+                                     "target-s": 0.4, "credit": 1.0}],
+                "reporting": {"fields": ["x0"], "source": "probe"},
+                "permissions": {"probes": true, "cancel": true, "retry-after": true, "max-attempts": 4,
+                                "max-retry-after-s": 1.0, "connect-timeout-s": 0.2},
+                "membership-mode": "on_request",
+                "rules": {"ask-within-s": 5.0, "cold-from": 0.5, "cold-s": 4.0, "fall-multiple": 3.0,
+                          "overload-for-s": 1.5, "drain-grace-s": 0.3},
+                "weights": "none", "family-info": {"groups": false}},
+        });
+        std::fs::write(process.dir.join("config.json"), config.to_string()).unwrap();
+        let spec = &self.spec;
+        let mut file = format!(
+            "[log]\nformat = \"json\"\n[fleet]\nname = \"turnos\"\nlisten = \"{}\"\nlease = \"{}ms\"\n\
+             election = \"{}ms\"\n{}\n",
+            process.listen, spec.lease_ms, spec.election_ms, spec.fleet_lines
+        );
+        if at < spec.voters {
+            file += &format!("dir = \"{}\"\n", self.fleet_dir(at).display());
+        }
+        for peer in (0..spec.voters).chain((at >= spec.voters).then_some(at)) {
+            let address = match self.relays.get(&(at, peer)) {
+                Some(relay) => relay.addr,
+                None => process.listen,
+            };
+            let votes = peer < spec.voters;
+            file += &format!(
+                "[[fleet.peer]]\nnode = \"{}\"\naddress = \"{address}\"\nvotes = {votes}\n",
+                name(peer)
+            );
+        }
+        for duty in &spec.duties {
+            file += &format!("[[fleet.duty]]\nname = \"{duty}\"\n");
+        }
+        std::fs::write(process.dir.join("operator.toml"), file + &spec.lines).unwrap();
+    }
+
+    /// Starts the process of a member on the files that it has.
+    pub fn run(&mut self, at: usize) {
+        let child = self.spawn(at, &mut self.command(at));
+        self.processes[at].child = Some(child);
+    }
+
+    fn command(&self, at: usize) -> Command {
+        let process = &self.processes[at];
+        let mut command = Command::new(&self.spec.program);
+        command
+            .env("NODE_CONFIG", process.dir.join("config.json"))
+            .env("VIOLETWIND_CONFIG", process.dir.join("operator.toml"))
+            .env_remove("NODE_NAME")
+            .env_remove("NODE_LISTEN")
+            .env_remove("NODE_DISCOVERY")
+            .env_remove("NODE_MANAGEMENT")
+            .env("TMPDIR", &process.dir)
+            .stdin(Stdio::null())
+            .stderr(Stdio::piped());
+        command
+    }
+
+    /// Starts a process whose lines go into the log under a member's name.
+    fn spawn(&self, at: usize, command: &mut Command) -> Child {
+        let mut child = command.spawn().unwrap();
+        let (stderr, logs) = (child.stderr.take().unwrap(), self.logs.clone());
+        thread::spawn(move || {
+            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                logs.lock().unwrap().push((at, line));
+            }
+        });
+        child
+    }
+
+    /// The same for a process that may write files of so many blocks of 512 bytes; a write beyond fails.
+    pub fn run_without_room(&mut self, at: usize, blocks: u32) {
+        let own = self.command(at);
+        let mut command = Command::new("sh");
+        let script = format!("trap '' XFSZ; ulimit -f {blocks}; exec \"$0\"");
+        command.arg("-c").arg(script).arg(own.get_program());
+        for (key, value) in own.get_envs() {
+            match value {
+                Some(value) => command.env(key, value),
+                None => command.env_remove(key),
+            };
+        }
+        command.stdin(Stdio::null()).stderr(Stdio::piped());
+        self.processes[at].child = Some(self.spawn(at, &mut command));
+    }
+
+    /// A second process of a member, with another address for operators and all else the same.
+    pub fn upgrade(&self, at: usize) -> Plain {
+        let management = unused();
+        let child = self.spawn(
+            at,
+            self.command(at)
+                .env("NODE_MANAGEMENT", management.to_string()),
+        );
+        Plain { child, management }
+    }
+
+    /// That process is the member's from now on.
+    pub fn adopt(&mut self, at: usize, next: &mut Plain) {
+        // The new one's handle, against one of something that has ended.
+        let ended = Command::new("true").spawn().unwrap();
+        self.processes[at].child = Some(std::mem::replace(&mut next.child, ended));
+        self.processes[at].management = next.management;
+    }
+
+    /// The same program on the configuration of a member, at addresses of its own, without an operator's file.
+    pub fn plain(&self, at: usize) -> Plain {
+        let (management, dir) = (unused(), self.dir.join("plain"));
+        std::fs::create_dir_all(&dir).unwrap();
+        let mut command = self.command(at);
+        command
+            .env_remove("VIOLETWIND_CONFIG")
+            .env("NODE_MANAGEMENT", management.to_string())
+            .env("NODE_LISTEN", unused().to_string())
+            .env("TMPDIR", dir);
+        Plain {
+            child: self.spawn(at, &mut command),
+            management,
+        }
+    }
+
+    pub fn signal(&self, at: usize, signal: &str) {
+        if let Some(child) = &self.processes[at].child {
+            let sent = Command::new("kill")
+                .args([signal, &child.id().to_string()])
+                .status()
+                .unwrap();
+            assert!(sent.success(), "kill {signal} {}", name(at));
+        }
+    }
+
+    pub fn pid(&self, at: usize) -> Option<u32> {
+        self.processes[at].child.as_ref().map(Child::id)
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.processes[at].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            self.kills.push(Record {
+                mono_ms: mono_ms(),
+                node: name(at),
+                duty: String::new(),
+                fence: 0,
+                what: What::Killed,
+            });
+        }
+    }
+
+    /// SIGTERM, and the wait for its end.
+    pub fn end(&mut self, at: usize) -> Option<ExitStatus> {
+        self.signal(at, "-TERM");
+        self.wait(at)
+    }
+
+    pub fn wait(&mut self, at: usize) -> Option<ExitStatus> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let child = self.processes[at].child.as_mut()?;
+            if let Some(status) = child.try_wait().unwrap() {
+                self.processes[at].child = None;
+                return Some(status);
+            }
+            assert!(Instant::now() < until, "{} does not end", name(at));
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// What becomes of frames from one member to another, on whichever connection.
+    pub fn frames(&self, from: usize, to: usize, way: Way) {
+        if let Some(relay) = self.relays.get(&(from, to)) {
+            relay.set(Direction::There, way);
+        }
+        if let Some(relay) = self.relays.get(&(to, from)) {
+            relay.set(Direction::Back, way);
+        }
+    }
+
+    /// All ways between two groups.
+    pub fn part(&self, some: &[usize], others: &[usize], way: Way) {
+        for (a, b) in some
+            .iter()
+            .flat_map(|a| others.iter().map(move |b| (*a, *b)))
+        {
+            self.frames(a, b, way);
+            self.frames(b, a, way);
+        }
+    }
+
+    pub fn heal(&self) {
+        self.relays.values().for_each(|relay| relay.both(Way::Pass));
+    }
+
+    /// An operator's call; none if nobody answers in time.
+    pub fn call(&self, at: usize, line: &str) -> Option<String> {
+        let call = || -> std::io::Result<String> {
+            let mut stream =
+                TcpStream::connect_timeout(&self.management(at), Duration::from_secs(1))?;
+            stream.set_read_timeout(Some(Duration::from_millis(1500)))?;
+            stream.write_all(format!("{line}\n").as_bytes())?;
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer)?;
+            Ok(answer.trim_end().to_string())
+        };
+        call().ok()
+    }
+
+    /// What a member says of the fleet.
+    pub fn view(&self, at: usize) -> Option<Value> {
+        serde_json::from_str(self.call(at, "FLEET")?.strip_prefix("200 ")?).ok()
+    }
+
+    /// Who says that it holds a duty, by a member that has a leader's word.
+    pub fn holder(&self, at: usize, duty: &str) -> Option<usize> {
+        let view = self.view(at).filter(|view| view["majority"] == true)?;
+        let duty = view["duties"]
+            .as_array()?
+            .iter()
+            .find(|known| known["name"] == duty)?;
+        (0..self.count()).find(|at| duty["holder"] == name(*at).as_str())
+    }
+
+    /// Waits until something is so.
+    pub fn until<T>(&self, what: &str, mut so: impl FnMut(&Self) -> Option<T>) -> T {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(found) = so(self) {
+                return found;
+            }
+            assert!(Instant::now() < until, "{what}: never\n{}", self.log());
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Waits until a member holds a duty by its own words: it gained it after `since` and has not lost it.
+    pub fn held(&self, duty: &str, since: u64) -> (usize, u64) {
+        self.until(duty, |members| {
+            let holdings = books::holdings(&members.records());
+            let last = holdings.iter().rfind(|holding| holding.duty == duty)?;
+            let node = (0..members.count()).find(|at| name(*at) == last.node)?;
+            (last.until == u64::MAX && last.from >= since).then_some((node, last.from))
+        })
+    }
+
+    pub fn records(&self) -> Vec<Record> {
+        let logs = self.logs.lock().unwrap();
+        let told = logs
+            .iter()
+            .filter_map(|(at, line)| books::read(&name(*at), line));
+        told.chain(self.kills.iter().cloned()).collect()
+    }
+
+    pub fn log(&self) -> String {
+        let logs = self.logs.lock().unwrap();
+        logs.iter()
+            .map(|(at, line)| format!("{} {line}\n", name(*at)))
+            .collect()
+    }
+
+    pub fn logged(&self, at: usize, text: &str) -> bool {
+        self.logs
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|(by, line)| *by == at && line.contains(text))
+    }
+}
+
+/// A process beside those of the members.
+pub struct Plain {
+    pub child: Child,
+    pub management: SocketAddr,
+}
+
+impl Drop for Plain {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Members {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            if let Some(child) = &mut process.child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
