A full disk is told from a broken one by every name that the system has for it

A file limit gave another error than a full disk and ended the member; found by the test of a voter without room, which passes now.

--- a/crates/proxy/src/fleet/store.rs
+++ b/crates/proxy/src/fleet/store.rs
@@ -494,7 +494,7 @@
                         told(Told::Saved(last));
                         break;
                     }
-                    Err(Fault::Io { path, error }) if error.kind() == io::ErrorKind::StorageFull => {
+                    Err(Fault::Io { path, error }) if no_room(&error) => {
                         // Nothing is acknowledged meanwhile: the others go on without this voter.
                         if !std::mem::replace(&mut said, true) {
                             warn!(file = %path.display(), %error, "no room: this voter answers for nothing");
