--- a/crates/standins/src/books.rs
+++ b/crates/standins/src/books.rs
@@ -62,7 +62,13 @@
 /// The holdings of all nodes in the order in which they began. Kills end what their node held.
 pub fn holdings(records: &[Record]) -> Vec<Holding> {
     let mut records = records.to_vec();
-    records.sort_by_key(|record| (record.mono_ms, record.what == What::Gained));
+    // Within a millisecond numbers tell the order; a holding may be no longer than that. Kills come last.
+    let order = |record: &Record| match record.what {
+        What::Gained => (record.fence, 0),
+        What::Lost => (record.fence, 1),
+        What::Killed => (u64::MAX, 2),
+    };
+    records.sort_by_key(|record| (record.mono_ms, order(record)));
     let mut open: BTreeMap<(String, String), Holding> = BTreeMap::new();
     let mut all = Vec::new();
     for record in records {
