--- a/crates/consensus/src/limits.rs
+++ b/crates/consensus/src/limits.rs
@@ -22,6 +22,8 @@
     pub snapshot_bytes: usize,
     /// Readers that wait for a majority; more are refused.
     pub reads: usize,
+    /// Who is let vote lacks no more entries than these.
+    pub promote_behind: u64,
     /// Members, voters and others.
     pub members: usize,
 }
@@ -38,6 +40,7 @@
             piece_bytes: 64 << 10,
             snapshot_bytes: 16 << 20,
             reads: 4096,
+            promote_behind: 64,
             members: 32,
         }
     }
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -330,11 +330,10 @@
                 members.0.insert(id, crate::Member { name, votes: false });
             }
             Change::Promote(id) => {
-                let behind = self
-                    .peers
-                    .get(&id)
-                    .map(|peer| self.log.last() - peer.matched);
-                let close = behind.is_some_and(|behind| behind <= 64);
+                // It has acknowledged at least that it is a member: an empty log is not close to a short one.
+                let matched = self.peers.get(&id).map_or(0, |peer| peer.matched);
+                let behind = self.log.last() - matched;
+                let close = matched >= at && behind <= self.limits.promote_behind;
                 let member = members
                     .0
                     .get_mut(&id)
--- a/crates/consensus/tests/cases.rs
+++ b/crates/consensus/tests/cases.rs
@@ -235,6 +235,14 @@
         world.change(leader, Change::Promote(stranger)),
         Err(Refused::Changing)
     );
+    // It has to acknowledge that it is a member before it may vote, however short the log is.
+    world.cut.insert((stranger, leader));
+    world.run(500);
+    assert_eq!(
+        world.change(leader, Change::Promote(stranger)),
+        Err(Refused::Senseless)
+    );
+    world.cut.clear();
     world.run(1000);
     world.change(leader, Change::Promote(stranger)).unwrap();
     world.run(1000);
