--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -61,6 +61,11 @@
     NoSession {
         why: Why,
     },
+    /// Nobody that leads has answered for a whole lease; told once until somebody does.
+    NoLeader {
+        since: Millis,
+    },
+    LeaderAgain,
     Leads {
         term: Term,
     },
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -69,6 +69,8 @@
     quits: Option<Millis>,
     left: bool,
     no_session: Option<Why>,
+    /// That nobody leads has been told.
+    alone: bool,
 }
 
 impl Holder {
@@ -94,6 +96,7 @@
             quits: None,
             left: false,
             no_session: None,
+            alone: false,
         }
     }
 
@@ -212,6 +215,11 @@
         if self.quits.is_some_and(|until| now >= until) {
             self.left = true;
         }
+        let since = now.saturating_sub(self.answered);
+        if since >= limits.lease && !self.alone {
+            self.alone = true;
+            events.push(Event::NoLeader { since });
+        }
         let patience = limits.renew / 2;
         let late = |(number, at, _): &(Number, Millis, What)| {
             *number > self.heard.max(self.missed) && now >= *at + patience
@@ -381,6 +389,9 @@
         }
         self.heard = self.heard.max(number);
         self.answered = now;
+        if std::mem::take(&mut self.alone) {
+            events.push(Event::LeaderAgain);
+        }
         true
     }
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -538,6 +538,10 @@
         let why = self.without_majority();
         let answer = match call.ask {
             Ask::View => Answer::View(self.view_alone(why)),
+            // A member is let in or put out in steps, each of which is committed.
+            Ask::Order(Order::LetIn { .. } | Order::PutOut { .. }) => {
+                Answer::Refused(format!("not done yet, call again: {why}"))
+            }
             _ => Answer::Refused(why),
         };
         self.out.push(Output::Answer(call.token, answer));
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -390,6 +390,13 @@
             Event::Lost { duty, fence, why } => info!(duty, fence, mono_ms, %why, "duty lost"),
             Event::Session { number } => info!(session = number, mono_ms, "session"),
             Event::NoSession { why } => info!(mono_ms, %why, "no session: nothing is held"),
+            Event::NoLeader { since } => {
+                warn!(
+                    since_ms = since,
+                    mono_ms, "nobody that leads the fleet answers: nothing is held here"
+                );
+            }
+            Event::LeaderAgain => info!(mono_ms, "the fleet is led again"),
             Event::Leads { term } => info!(term, mono_ms, "this member leads the fleet"),
             Event::Follows { term } => info!(
                 term,
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -509,4 +509,49 @@
         ];
         assert_eq!(read(text).unwrap_err(), expected);
     }
+
+    #[test]
+    fn a_fleet_is_read_with_all_that_is_wrong_in_it() {
+        let text = r#"[fleet]
+name = "turnos"
+listen = "127.0.0.1:7100"
+lease = "1s"
+leese = "2s"
+[[fleet.peer]]
+node = "a"
+address = "127.0.0.1:7100"
+votes = true
+[[fleet.peer]]
+node = "a"
+address = "127.0.0.1:7100"
+votes = true
+[[fleet.duty]]
+name = "night export""#;
+        let expected = [
+            "f.toml:4: `fleet.lease`: shorter than elections need: 1500ms at least, or a shorter `election`",
+            "f.toml:5: `fleet.leese`: no such key (did you mean `lease`?)",
+            "f.toml:11: `fleet.peer.1.node`: another peer has this name",
+            "f.toml:12: `fleet.peer.1.address`: another peer has this address",
+            "f.toml:15: `fleet.duty.0.name`: expected up to 64 letters, digits, `-`, `_`, `.` and `:`",
+        ];
+        assert_eq!(read(text).unwrap_err(), expected);
+        let text = r#"[fleet]
+name = "turnos"
+listen = "127.0.0.1:7100"
+[[fleet.peer]]
+node = "a"
+address = "127.0.0.1:7100"
+votes = true
+[[fleet.peer]]
+node = "b"
+address = "127.0.0.1:7101"
+votes = true"#;
+        let fleet = read(text).unwrap().fleet.unwrap();
+        assert_eq!(fleet.warnings.len(), 1, "two voters stand no loss");
+        let fault = fleet.fits("c").unwrap_err();
+        assert!(fault.contains("own name"), "{fault}");
+        let fault = fleet.fits("a").unwrap_err();
+        assert!(fault.contains("fleet.dir"), "{fault}");
+        assert!(read("").unwrap().fleet.is_none());
+    }
 }
--- a/crates/proxy/src/staff.rs
+++ b/crates/proxy/src/staff.rs
@@ -15,6 +15,8 @@
 /// An answer is due within 1 s; it holds a whole fleet at most.
 const PATIENCE: Duration = Duration::from_millis(1500);
 const ANSWER: u64 = 4 << 20;
+/// How long a member may take to get the log and a vote.
+const STEPS: Duration = Duration::from_secs(20);
 /// How often a held duty is asked about, and one that is waited for.
 const POLL: Duration = Duration::from_millis(50);
 
@@ -58,7 +60,17 @@
             (at, format!("FLEET HAND-ON {duty} {to}"), false)
         }
     };
-    match call(at.at, &line) {
+    // A member is let in or put out in steps; whoever calls waits for the last.
+    let until = Instant::now() + STEPS;
+    let said = loop {
+        match call(at.at, &line) {
+            Ok(Said::No(why)) if why.starts_with("not done yet") && Instant::now() < until => {
+                sleep(POLL);
+            }
+            said => break said,
+        }
+    };
+    match said {
         Ok(Said::Yes(word)) if table => match serde_json::from_str(&word) {
             Ok(view) => {
                 print!("{}", shown(&view));
