--- a/crates/proxy/benches/duties.rs
+++ b/crates/proxy/benches/duties.rs
@@ -15,7 +15,10 @@
         lease_ms: 2000,
         election_ms: 500,
         duties: vec!["export".into()],
-        fleet_lines: format!("sync = {sync}\nlinks = 1024\n"),
+        fleet_lines: format!(
+            "sync = {sync}\nlinks = {}\n",
+            if others > 0 { 512 } else { 64 }
+        ),
         lines: String::new(),
     }
 }
@@ -226,15 +229,23 @@
         let leads = members.until("a leader", |members| {
             members.holder(0, "export").map(|_| leader(members, None))
         });
-        members.until("300 sessions", |members| {
+        let begun = Instant::now();
+        let live = || {
             let view = members.view(leads)?;
             let live = view["members"]
                 .as_array()?
                 .iter()
-                .filter(|member| member["state"] == "live")
-                .count();
-            (live == 300).then_some(())
-        });
+                .filter(|member| member["state"] == "live");
+            Some(live.count())
+        };
+        while live() != Some(300) {
+            assert!(
+                begun.elapsed() < Duration::from_secs(90),
+                "{:?} sessions",
+                live()
+            );
+            std::thread::sleep(Duration::from_millis(100));
+        }
         let pid = members.pid(leads).unwrap();
         let (before, _) = used(pid);
         let other = members.pid(150).unwrap();
