--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -59,6 +59,35 @@
     pub span: Secs,
 }
 
+/// What a whole of many balancers is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Matter {
+    /// Attempts beyond a request's first, within any span of the allowance's length.
+    Further,
+    /// Connections at once, attempts that are out among them: of a class, or of a tenant.
+    Class(usize),
+    Tenant(usize),
+}
+
+/// A balancer's part of such a whole: so much until a moment, and so much from then on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    pub units: u64,
+    pub until: Secs,
+    pub after: u64,
+    /// Of [`Matter::Further`].
+    pub span: Secs,
+}
+
+/// What a balancer uses of a part that it has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Use {
+    pub matter: Matter,
+    pub busy: u64,
+    /// How often the part was too small, since the start.
+    pub denied: u64,
+}
+
 /// What the balancer is told at its start, and the only thing it may act on besides events.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -219,6 +248,8 @@
     DelayNote(ServerId, Secs),
     Probed(ServerId, Outcome, Report),
     Taking(Taking),
+    /// A part of a whole from now on; of what none is told is no part.
+    Allowance(Matter, Allowance),
     /// Other settings hold from now on. Classes, tenants, zones and kinds that were there keep their
     /// numbers, also those that are named no more: requests under way go by them to their end.
     Settings(Box<Settings>),
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -149,6 +149,7 @@
                 self.place_waiting(Some(server), out);
             }
             Event::Taking(taking) => self.on_taking(taking, out),
+            Event::Allowance(matter, part) => self.state.allow(matter, part),
             Event::Settings(set) => {
                 self.state.resize(&set);
                 self.state.forget_orders();
@@ -408,8 +409,8 @@
         {
             return self.give_up(id, out);
         }
-        // Further attempts may be rationed.
-        if attempts > 0 && !self.affordable() {
+        // Further attempts may be rationed, and so may what all balancers have in common.
+        if attempts > 0 && !self.affordable() || !self.has_parts(id) {
             return self.give_up(id, out);
         }
         let Some(to) = self.choose(id) else {
@@ -435,8 +436,8 @@
         );
         let conn = &self.state.conns[&id];
         let load = conn.load + self.group_load(conn, server);
-        if attempts > 0 && self.set.budget.is_some() {
-            self.state.go_further();
+        if attempts > 0 {
+            self.state.go_further(&self.set);
         }
         self.state.join(id, to, Phase::Out(to));
         self.state.server(to, |server| {
@@ -451,6 +452,22 @@
     fn affordable(&mut self) -> bool {
         let budget = self.set.budget;
         budget.is_none_or(|budget| self.state.spare(&budget) >= 1.0)
+            && self.state.has_part(Matter::Further, 0)
+    }
+
+    /// Whether one more of its class and tenant is within this balancer's parts, where it has any.
+    fn has_parts(&mut self, id: RequestId) -> bool {
+        let request = &self.state.conns[&id].request;
+        let (class, tenant) = (request.class, request.tenant);
+        // The tenant's count has the request from the moment it came.
+        self.state.has_part(Matter::Class(class), 0)
+            && tenant.is_none_or(|tenant| self.state.has_part(Matter::Tenant(tenant), 1))
+    }
+
+    /// What is used of each part of a whole that was told.
+    pub fn uses(&mut self, now: Secs) -> Vec<Use> {
+        self.state.now = now;
+        self.state.uses()
     }
 
     fn wait(&mut self, id: RequestId, asked: Option<ServerId>, out: &mut Vec<Action>) {
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -185,6 +185,10 @@
     /// When requests came, and when attempts beyond a request's first were made, as far as a budget asks.
     came: VecDeque<Secs>,
     further: VecDeque<Secs>,
+    /// Parts of what all balancers share, how often each was too small, and the attempts that the one for
+    /// further attempts counts.
+    parts: BTreeMap<Matter, (Allowance, u64)>,
+    rationed: VecDeque<Secs>,
     /// When the balancer came to life.
     pub started: Option<Secs>,
     /// When the first request came, if nothing was held then.
@@ -216,6 +220,8 @@
             first_request: None,
             came: VecDeque::new(),
             further: VecDeque::new(),
+            parts: BTreeMap::new(),
+            rationed: VecDeque::new(),
             started: None,
             began_empty: None,
             classes: vec![0; set.classes.len()],
@@ -385,8 +391,62 @@
     }
 
     /// An attempt is made; it is not its request's first.
-    pub fn go_further(&mut self) {
-        self.further.push_back(self.now);
+    pub fn go_further(&mut self, set: &Settings) {
+        if set.budget.is_some() {
+            self.further.push_back(self.now);
+        }
+        if self.parts.contains_key(&Matter::Further) {
+            self.rationed.push_back(self.now);
+        }
+    }
+
+    pub fn allow(&mut self, matter: Matter, allowance: Allowance) {
+        let part = self.parts.entry(matter).or_insert((allowance, 0));
+        part.0 = allowance;
+    }
+
+    /// What is in use of a part.
+    fn busy(&mut self, matter: Matter) -> u64 {
+        match matter {
+            Matter::Further => {
+                let span = self.parts.get(&matter).map_or(0.0, |(part, _)| part.span);
+                let since = self.now - span;
+                while self.rationed.front().is_some_and(|at| *at < since - SLACK) {
+                    self.rationed.pop_front();
+                }
+                self.rationed.len() as u64
+            }
+            Matter::Class(class) => self.classes.get(class).map_or(0, |held| *held as u64),
+            Matter::Tenant(tenant) => self.tenants.get(tenant).map_or(0, |held| *held as u64),
+        }
+    }
+
+    /// Whether the part has room for one more; `own` of what is in use is this one's already.
+    pub fn has_part(&mut self, matter: Matter, own: u64) -> bool {
+        let Some((part, _)) = self.parts.get(&matter) else {
+            return true;
+        };
+        let units = if self.now < part.until {
+            part.units
+        } else {
+            part.after
+        };
+        let room = self.busy(matter).saturating_sub(own) < units;
+        if !room && let Some((_, denied)) = self.parts.get_mut(&matter) {
+            *denied += 1;
+        }
+        room
+    }
+
+    pub fn uses(&mut self) -> Vec<Use> {
+        let denied = |(matter, (_, denied)): (&Matter, &(Allowance, u64))| (*matter, *denied);
+        let matters: Vec<(Matter, u64)> = self.parts.iter().map(denied).collect();
+        let of = |(matter, denied)| Use {
+            matter,
+            busy: self.busy(matter),
+            denied,
+        };
+        matters.into_iter().map(of).collect()
     }
 
     /// Own attempts a second: what is refused loads no server.
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -286,3 +286,96 @@
         assert!(further.len() > 5, "seed {seed}: {}", further.len());
     }
 }
+
+fn part(units: u64, until: Secs, after: u64) -> Allowance {
+    Allowance {
+        units,
+        until,
+        after,
+        span: 5.0,
+    }
+}
+
+/// Parts of what all balancers share: kept to the last unit, less after their time, refused with a time to come back.
+#[test]
+fn parts_of_a_class_and_of_a_tenant_are_kept_and_run_out() {
+    let mut set = settings();
+    set.classes.push(class(Effect::Unsafe, Scope::All));
+    set.tenants = vec![Tenant { quota: None }];
+    let mut bench = Bench::new(set, (1..9).map(entry).collect(), 1);
+    bench.on(Event::Allowance(
+        Matter::Class(0),
+        part(5, bench.now + 10.0, 2),
+    ));
+    let placed = (0..9).filter(|id| bench.place(*id).is_some()).count();
+    assert_eq!(placed, 5);
+    let actions = bench.on(Event::Request(request(20)));
+    assert!(
+        matches!(actions[..], [Action::Refuse(20, Some(wait))] if wait > 0.0),
+        "{actions:?}"
+    );
+    // Another class has no part and no bound.
+    let other = |id| Request {
+        class: 1,
+        ..request(id)
+    };
+    assert!(sent_to(&bench.on(Event::Request(other(30))), 30).is_some());
+    let uses = bench.balancer.uses(bench.now);
+    assert_eq!(
+        uses,
+        [Use {
+            matter: Matter::Class(0),
+            busy: 5,
+            denied: 5
+        }]
+    );
+    // One leaves: there is room for one, and after its time only as far as the rest of the part.
+    bench.on(Event::Gone(0));
+    assert!(bench.place(40).is_some() && bench.place(41).is_none());
+    bench.now += 10.0;
+    for id in [1, 2, 3] {
+        bench.on(Event::Gone(id));
+    }
+    assert!(bench.place(42).is_none());
+    bench.on(Event::Gone(4));
+    assert!(bench.place(43).is_some() && bench.place(44).is_none());
+    // A tenant's part counts requests from the moment they come, and each only once.
+    bench.on(Event::Allowance(
+        Matter::Tenant(0),
+        part(2, bench.now + 10.0, 0),
+    ));
+    let of = |id| Request {
+        class: 1,
+        tenant: Some(0),
+        ..request(id)
+    };
+    let sent = |bench: &mut Bench, id| sent_to(&bench.on(Event::Request(of(id))), id).is_some();
+    assert_eq!(
+        [50, 51, 52].map(|id| sent(&mut bench, id)),
+        [true, true, false]
+    );
+}
+
+#[test]
+fn a_part_of_further_attempts_holds_in_any_span_of_its_length() {
+    let mut set = settings();
+    set.max_attempts = 6;
+    let mut bench = Bench::new(set, (1..9).map(entry).collect(), 3);
+    bench.on(Event::Allowance(Matter::Further, part(4, 1e9, 0)));
+    let mut further: Vec<Secs> = Vec::new();
+    for id in 0..200 {
+        bench.now += 0.1;
+        let mut actions = bench.on(Event::Request(request(id)));
+        let mut tries = 0;
+        while let Some(server) = sent_to(&actions, id) {
+            tries += 1;
+            if tries > 1 {
+                further.push(bench.now);
+                let within = further.iter().filter(|at| **at > bench.now - 5.0).count();
+                assert!(within <= 4, "{within} at {}", bench.now);
+            }
+            actions = bench.end(id, server, Outcome::NotSent);
+        }
+    }
+    assert!(further.len() > 10, "{}", further.len());
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,7 +13,8 @@
 use tracing::{debug, error, info, trace, warn};
 use violetwind_balancer::Balancer;
 use violetwind_balancer::api::{
-    Action, Entry, Event, ListKind, Outcome, Report, RequestId, ServerId, Settings, Status, Taking,
+    Action, Allowance, Entry, Event, ListKind, Outcome, Report, RequestId, ServerId, Settings,
+    Status, Taking,
 };
 use violetwind_catalogue::{Instance, Telling, Word};
 use violetwind_common::{Names, Row, server_id};
@@ -306,6 +307,14 @@
                 self.conns.insert(id, conn);
                 self.order(id, order);
             }
+            Notice::Allowances(parts, reply) => {
+                for (matter, part, until) in parts {
+                    let until = self.clock.at(until);
+                    self.handle(Event::Allowance(matter, Allowance { until, ..part }));
+                }
+                // Whoever asked and has gone needs no answer.
+                let _ = reply.send(self.balancer.uses(self.clock.at(now)));
+            }
             Notice::Stands(request, server) => {
                 self.up(request.id, server);
                 self.handle(Event::Open(request, server));
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 use violetwind_balancer::api::{
-    Ended, ListKind, Outcome, Report, Request, RequestId, Secs, ServerId, Settings,
+    Allowance, Ended, ListKind, Matter, Outcome, Report, Request, RequestId, Secs, ServerId,
+    Settings, Use,
 };
 use violetwind_catalogue::Telling;
 use violetwind_common::{Names, Row};
@@ -58,6 +60,8 @@
     /// An operator's word; the answer comes once it is in force. One that another process of this proxy has
     /// taken is binding here whether or not a list has named the server.
     Operator(Change, Binding, oneshot::Sender<Reply>),
+    /// Parts of what several proxies share, each until a moment; answered with what is used of all of them.
+    Allowances(Vec<(Matter, Allowance, Instant)>, oneshot::Sender<Vec<Use>>),
     /// Answered as soon as the engine comes to it: how many servers it knows.
     Health(oneshot::Sender<usize>),
 }
--- a/crates/fleet/src/budget/divide.rs
+++ b/crates/fleet/src/budget/divide.rs
@@ -88,24 +88,47 @@
             let room = budget.pool().saturating_sub(stranded);
             let wants: Vec<(SessionId, u64)> =
                 needs.iter().map(|(id, (_, wants))| (*id, *wants)).collect();
-            let targets = fair(&wants, room);
+            let real = fair(&wants, room);
+            // What is left goes to those who use some, so that their next one need not wait.
+            let ahead: Vec<_> = wants
+                .iter()
+                .filter(|(_, wants)| *wants > 0)
+                .map(|(id, wants)| (*id, 1 + wants / 8))
+                .collect();
+            let ahead = fair(&ahead, room - real.values().sum::<u64>());
+            let target = |session: &SessionId| {
+                real.get(session).unwrap_or(&0) + ahead.get(session).unwrap_or(&0)
+            };
             let mut free = budget.free();
             // More is out than there is since the whole was lowered: it is not given out again.
             let mut short = budget.given().saturating_sub(budget.pool());
-            for (session, target) in &targets {
-                let share = budget.share(*session);
-                let more = target.saturating_sub(share.units);
-                let now = more.min(free);
-                if now > 0 {
-                    raises.push((name.clone(), *session, share.units + now, share.version));
-                    free -= now;
+            // Who lacks something comes before anybody's room ahead.
+            let mut raised: BTreeMap<SessionId, u64> = BTreeMap::new();
+            for aims in [|real: u64, _: u64| real, |_, target| target] {
+                for (session, wanted) in &real {
+                    let share = budget.share(*session);
+                    let units = raised.get(session).copied().unwrap_or(share.units);
+                    let more = aims(*wanted, target(session)).saturating_sub(units);
+                    let now = more.min(free);
+                    if now > 0 {
+                        raised.insert(*session, units + now);
+                        free -= now;
+                    }
                 }
-                short += more - now;
+            }
+            for (session, wanted) in &real {
+                let units = raised
+                    .get(session)
+                    .copied()
+                    .unwrap_or(budget.share(*session).units);
+                short += wanted.saturating_sub(units);
+            }
+            for (session, units) in raised {
+                raises.push((name.clone(), session, units, budget.share(session).version));
             }
             // What nobody lacks stays where it is.
             for (session, share) in budget.shares() {
-                let target = targets.get(session).copied().unwrap_or(0);
-                let over = share.units.saturating_sub(target);
+                let over = share.units.saturating_sub(target(session));
                 let back = over.min(short);
                 if back > 0 {
                     short -= back;
--- a/crates/fleet/src/budget/meter.rs
+++ b/crates/fleet/src/budget/meter.rs
@@ -1,6 +1,6 @@
 //! What one member uses of each budget, and what it may. All times are its own.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use violetwind_consensus::Millis;
 
@@ -18,17 +18,44 @@
     Unknown,
 }
 
+/// What whoever counts a budget elsewhere in this process is told: so much until a moment of this member's clock,
+/// and so much from then on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    pub units: u64,
+    pub until: Millis,
+    pub after: u64,
+    /// Of a rate: the span within which it is counted, which allows for clocks that run fast.
+    pub span: Millis,
+}
+
+/// A budget that is counted elsewhere: what was told there, and what was heard back.
+#[derive(Clone, Debug, Default)]
+struct Outside {
+    told: Option<Part>,
+    /// Less counts from now on, and that has not been told.
+    less: bool,
+    /// Numbers of the words told; what is heard names the last that was in force.
+    seq: u64,
+    heard: u64,
+    busy: u64,
+    denied: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Meter {
     def: Def,
     /// From then on the floor may be used: what a process before this one used of a rate is forgotten.
     floor_from: Millis,
     share: Share,
-    /// Asked to go down to, and the version that this stands on.
+    /// What the leader wishes it to go down to.
+    target: Option<u64>,
+    /// The least that was said to be used at most, and the version of the share that this stands on.
     lower: Option<(u64, u64)>,
     held: u64,
     used: VecDeque<Millis>,
     denied: VecDeque<Millis>,
+    outside: Option<Outside>,
 }
 
 impl Meter {
@@ -52,6 +79,9 @@
     }
 
     fn busy(&self) -> u64 {
+        if let Some(outside) = &self.outside {
+            return outside.busy;
+        }
         match self.def.kind {
             Kind::Held => self.held,
             Kind::Rate => self.used.len() as u64,
@@ -70,12 +100,23 @@
         self.busy().saturating_sub(self.floor(now))
     }
 
+    /// The share, or less where it is being lowered.
+    fn usable(&self) -> u64 {
+        let share = self.share.units.min(self.target.unwrap_or(u64::MAX));
+        match self.lower {
+            Some((to, version)) if version == self.share.version => share.min(to),
+            _ => share,
+        }
+    }
+
     fn allowed(&self, now: Millis, leased: bool) -> u64 {
-        let share = match self.lower {
-            Some((to, version)) if version == self.share.version => self.share.units.min(to),
-            _ => self.share.units,
-        };
-        self.floor(now) + if leased { share } else { 0 }
+        self.floor(now) + if leased { self.usable() } else { 0 }
+    }
+
+    /// Whether what was told last is in force where it is counted, so that what was heard binds.
+    fn settled(&self) -> bool {
+        let heard = |outside: &Outside| outside.heard == outside.seq && !outside.less;
+        self.outside.as_ref().is_none_or(heard)
     }
 }
 
@@ -91,16 +132,18 @@
 
 impl Meters {
     /// `begun` is when this process began; `after_another` that one of the same name may just have ended.
-    pub fn new(defs: &[Def], begun: Millis, limits: &Limits) -> Self {
+    pub fn new(defs: &[Def], outside: &BTreeSet<Name>, begun: Millis, limits: &Limits) -> Self {
         let meter = |def: &Def| {
             let mut meter = Meter {
                 def: def.clone(),
                 floor_from: begun,
                 share: Share::default(),
+                target: None,
                 lower: None,
                 held: 0,
                 used: VecDeque::new(),
                 denied: VecDeque::new(),
+                outside: outside.contains(&def.name).then(Outside::default),
             };
             if def.kind == Kind::Rate {
                 meter.floor_from = begun + meter.window(limits);
@@ -119,7 +162,11 @@
 
     /// One unit, if it may be used now; `leased` is whether the session's lease counts.
     pub fn take(&mut self, budget: &str, now: Millis, leased: bool, limits: &Limits) -> Taken {
-        let Some(meter) = self.meters.get_mut(budget) else {
+        let meter = self
+            .meters
+            .get_mut(budget)
+            .filter(|meter| meter.outside.is_none());
+        let Some(meter) = meter else {
             return Taken::Unknown;
         };
         meter.forget(now, limits);
@@ -143,6 +190,56 @@
         }
     }
 
+    /// What whoever counts elsewhere is to be told: a number, and the part. `end` is the end of the lease, as far as
+    /// shares count by it.
+    pub fn parts(&mut self, now: Millis, end: Millis) -> Vec<(Name, u64, Part)> {
+        let mut parts = Vec::new();
+        for (name, meter) in &mut self.meters {
+            let (floor, usable, window) = (meter.floor(now), meter.usable(), meter.def.window);
+            let Some(outside) = &mut meter.outside else {
+                continue;
+            };
+            let until = if now < end && usable > 0 { end } else { 0 };
+            let units = floor + if until > 0 { usable } else { 0 };
+            // Twice the drift: the clock there may not be this one.
+            let part = Part {
+                units,
+                until,
+                after: floor,
+                span: window + window / 50 + 1,
+            };
+            outside.less = false;
+            if outside.told != Some(part) {
+                outside.told = Some(part);
+                outside.seq += 1;
+                parts.push((name.clone(), outside.seq, part));
+            }
+        }
+        parts
+    }
+
+    /// What is used elsewhere, once the word of that number was in force there.
+    pub fn heard(&mut self, budget: &str, seq: u64, busy: u64, denied: u64, now: Millis) {
+        if let Some(meter) = self.meters.get_mut(budget)
+            && let Some(outside) = &mut meter.outside
+        {
+            outside.heard = outside.heard.max(seq);
+            outside.busy = busy;
+            let more = denied.saturating_sub(outside.denied).min(meter.def.whole);
+            outside.denied = denied;
+            for _ in 0..more {
+                if (meter.denied.len() as u64) < meter.def.whole {
+                    meter.denied.push_back(now);
+                }
+            }
+        }
+    }
+
+    /// Whether all that is said of what is in use holds.
+    pub fn settled(&self) -> bool {
+        self.meters.values().all(Meter::settled)
+    }
+
     /// A held unit is not in use any more.
     pub fn give(&mut self, budget: &str) {
         if let Some(meter) = self.meters.get_mut(budget) {
@@ -195,10 +292,7 @@
             meter.forget(now, limits);
             let busy = meter.beyond(now);
             let denied = meter.denied.len() as u64;
-            // A little more than is used, so that the next one need not wait; less again only when it is far off.
-            let active = meter.busy() > meter.floor(now) / 2 || denied > 0;
-            let ahead = if active { 1 + busy / 8 } else { 0 };
-            let wants = (busy + denied + ahead).min(meter.def.pool());
+            let wants = (busy + denied).min(meter.def.pool());
             let need = Need {
                 budget: name.clone(),
                 busy,
@@ -206,8 +300,10 @@
             };
             let known = self.told.get(name);
             let told = known.map_or(0, |known| known.wants);
-            let near = wants <= told && told - wants <= told / 4 && (wants > 0 || told == 0);
-            if known.is_some_and(|_| near) || (known.is_none() && wants == 0 && busy == 0) {
+            // The leader gives some room ahead: only what goes beyond half of that is news, or falls far short.
+            let within = told * 3 / 4 <= wants && wants <= told + told / 16;
+            let same = wants == told || (within && denied == 0 && wants > 0);
+            if same && (known.is_some() || wants == 0) {
                 continue;
             }
             self.told.insert(name.clone(), need.clone());
@@ -240,34 +336,54 @@
         self.have = 0;
         self.told.clear();
         for meter in self.meters.values_mut() {
-            (meter.share, meter.lower) = (Share::default(), None);
+            (meter.share, meter.target, meter.lower) = (Share::default(), None, None);
+            if let Some(outside) = &mut meter.outside {
+                outside.less = true;
+            }
         }
     }
 
-    /// Asked to lower shares: from now on no more than that is used.
+    /// What the leader wishes shares to go down to: no more is used from now on.
     pub fn lower(&mut self, targets: &[(Name, u64)]) {
-        for (name, to) in targets {
-            if let Some(meter) = self.meters.get_mut(name) {
-                // A word that it uses no more than so much may be on its way: never back up upon one version.
-                let version = meter.share.version;
-                let to = match meter.lower {
-                    Some((known, same)) if same == version => known.min(*to),
-                    _ => *to,
-                };
-                meter.lower = Some((to, version));
+        for (name, meter) in &mut self.meters {
+            let target = targets.iter().find(|(budget, _)| budget == name);
+            let target = target.map(|(_, to)| *to);
+            if meter.target != target {
+                meter.target = target;
+                if let Some(outside) = &mut meter.outside {
+                    outside.less = true;
+                }
             }
         }
     }
 
-    /// What can be lowered now: down to the target, or to what is in use; with the version that it stands on.
-    pub fn lowered(&mut self, now: Millis, limits: &Limits) -> Option<(Name, u64, u64)> {
+    /// The share as the log had it after a word of this member.
+    pub fn now(&mut self, budget: &str, share: Share) {
+        if let Some(meter) = self
+            .meters
+            .get_mut(budget)
+            .filter(|meter| share.version > meter.share.version)
+        {
+            meter.share = share;
+        }
+    }
+
+    /// What can be lowered now: down to the target, or to what is in use; with the version that it stands on. A word
+    /// that `is_out` is not said again.
+    pub fn lowered(
+        &mut self,
+        now: Millis,
+        limits: &Limits,
+        is_out: impl Fn(&Name) -> bool,
+    ) -> Option<(Name, u64, u64)> {
         for (name, meter) in &mut self.meters {
             meter.forget(now, limits);
-            if let Some((to, version)) = meter.lower
-                && version == meter.share.version
-            {
-                let to = to.max(meter.beyond(now));
-                if to < meter.share.units {
+            let version = meter.share.version;
+            if let Some(target) = meter.target.filter(|_| meter.settled()) {
+                let said = meter.lower.filter(|(_, same)| *same == version);
+                let said = said.map_or(u64::MAX, |(to, _)| to);
+                let to = target.max(meter.beyond(now)).min(said);
+                if to < meter.share.units && (to < said || !is_out(name)) {
                     // Nothing beyond it is used from here on, whatever becomes of the word.
                     meter.lower = Some((to, version));
                     return Some((name.clone(), to, version));
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -1,11 +1,11 @@
 //! A member as the client of whoever leads: its session, and what it holds by it. All times are its own; a lease
 //! counts from before it was asked for.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use violetwind_consensus::Millis;
 
-use crate::budget::{Def, Kind, Meters, Taken};
+use crate::budget::{Def, Kind, Meters, Part, Taken};
 use crate::events::{Event, Why};
 use crate::limits::Limits;
 use crate::words::{Ask, Name, Number, SessionId, Told};
@@ -18,7 +18,7 @@
     Join,
     Renew,
     Release(Name),
-    Lower,
+    Lower(Name),
     Retire,
     Leave,
 }
@@ -92,6 +92,7 @@
     pub fn new(
         wants: Vec<Name>,
         budgets: Vec<Def>,
+        outside: &BTreeSet<Name>,
         nonce: Number,
         now: Millis,
         limits: &Limits,
@@ -102,7 +103,7 @@
             process: nonce,
             seen: 0,
             leaves: false,
-            meters: Meters::new(&budgets, now, limits),
+            meters: Meters::new(&budgets, outside, now, limits),
             budgets,
             term: 0,
             renewed_at: 0,
@@ -170,6 +171,22 @@
         taken
     }
 
+    /// What whoever counts budgets elsewhere in this process is to be told.
+    pub fn parts(&mut self, now: Millis, limits: &Limits) -> Vec<(Name, u64, Part)> {
+        let end = if self.leaves { 0 } else { self.end(limits) };
+        self.meters.parts(now, end)
+    }
+
+    pub fn heard(
+        &mut self,
+        (budget, seq, busy, denied): (&str, u64, u64, u64),
+        now: Millis,
+        limits: &Limits,
+    ) {
+        self.meters.heard(budget, seq, busy, denied, now);
+        self.press(now, limits);
+    }
+
     /// Somebody waits: the leader is told sooner, but not again and again.
     fn press(&mut self, now: Millis, limits: &Limits) {
         if self.meters.pressed() {
@@ -330,7 +347,10 @@
         let asked = |what: &What| out.contains(what);
         let may_go = quits && self.holds.is_empty() && self.may_go(now, limits);
         let lowered = match &session {
-            Some(session) if !session.lapsed => self.meters.lowered(now, limits),
+            Some(session) if !session.lapsed => {
+                let is_out = |budget: &Name| asked(&What::Lower(budget.clone()));
+                self.meters.lowered(now, limits, is_out)
+            }
             _ => None,
         };
         let (what, ask) = match (session, release) {
@@ -338,9 +358,14 @@
             (Some(session), _) if may_go && !session.lapsed => {
                 let (what, ask) = match self.retired || self.budgets.is_empty() {
                     true => {
+                        // From here on no share counts; then what is in use is what is said.
+                        if !std::mem::replace(&mut self.leaves, true) {
+                            self.meters.lapse();
+                        }
+                        if !self.meters.settled() {
+                            return None;
+                        }
                         let uses = self.meters.uses(now, limits);
-                        self.meters.lapse();
-                        self.leaves = true;
                         (
                             What::Leave,
                             Ask::Leave {
@@ -375,10 +400,10 @@
                 };
                 (What::Release(duty), ask)
             }
-            (Some(session), _) if lowered.is_some() && !asked(&What::Lower) => {
+            (Some(session), _) if lowered.is_some() => {
                 let (budget, to, version) = lowered.expect("just seen");
                 (
-                    What::Lower,
+                    What::Lower(budget.clone()),
                     Ask::Lower {
                         session: session.id,
                         budget,
@@ -400,6 +425,8 @@
                     },
                 )
             }
+            // What is said of use has to hold: whoever counts elsewhere knows by then that no share counts.
+            _ if !self.meters.settled() => return None,
             (session, _) => {
                 self.ask_at = now + limits.renew;
                 let ask = Ask::Join {
@@ -507,6 +534,7 @@
             (What::Release(duty), Told::Done) => {
                 self.giving.remove(&duty);
             }
+            (What::Lower(budget), Told::Lowered(share)) => self.meters.now(&budget, *share),
             (What::Retire, Told::Done) => self.retired = true,
             (What::Leave | What::Retire, Told::Done | Told::Gone) => self.left = true,
             (What::Join, Told::Unseen(seen)) => {
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -32,6 +32,8 @@
     /// What this member is able to hold.
     pub duties: Vec<Name>,
     pub budgets: Vec<Def>,
+    /// Those of them that are counted elsewhere in this process, not by takers here.
+    pub outside: BTreeSet<Name>,
     pub limits: Limits,
 }
 
@@ -180,6 +182,7 @@
             holder: Holder::new(
                 config.duties.clone(),
                 config.budgets.clone(),
+                &config.outside,
                 seed,
                 now,
                 &config.limits,
@@ -263,6 +266,16 @@
             }
             Input::Peer(from, peer) => self.peer(from, peer),
             Input::Saved(number) => self.saved(number),
+            Input::Used {
+                budget,
+                part,
+                busy,
+                denied,
+            } => {
+                let limits = self.config.limits.clone();
+                self.holder
+                    .heard((&budget, part, busy, denied), self.now, &limits);
+            }
             Input::Call(token, call) => self.call(token, call),
             Input::Quit => {
                 self.quits = true;
@@ -274,6 +287,13 @@
         self.serve_units();
         self.ask();
         self.end();
+        if !self.config.outside.is_empty() {
+            let parts = self.holder.parts(self.now, &self.config.limits);
+            let parts = parts
+                .into_iter()
+                .map(|(budget, number, part)| Output::Part(budget, number, part));
+            self.out.extend(parts);
+        }
         // An ask of its own may have gone to itself.
         self.pump();
         let events = self.events.drain(..).map(Output::Event);
@@ -520,9 +540,11 @@
             }
             Told::Done => Answer::Done,
             Told::Refused(why) => Answer::Refused(why),
-            Told::Joined { .. } | Told::Renewed { .. } | Told::Unseen(_) | Told::Gone => {
-                Answer::Refused("no answer that fits".into())
-            }
+            Told::Joined { .. }
+            | Told::Renewed { .. }
+            | Told::Unseen(_)
+            | Told::Lowered(_)
+            | Told::Gone => Answer::Refused("no answer that fits".into()),
         };
         self.out.push(Output::Answer(call.token, answer));
     }
@@ -960,6 +982,12 @@
             Effect::NameInUse => Told::Later("another session has this name".into()),
             Effect::Refused(why) => Told::Refused(why.into()),
             Effect::Done => match ask {
+                Ask::Lower {
+                    session, budget, ..
+                } => {
+                    let known = running.state.budgets().get(&budget);
+                    Told::Lowered(known.map(|known| known.share(session)).unwrap_or_default())
+                }
                 // Members of the log follow.
                 Ask::Order(Order::LetIn { .. } | Order::PutOut { .. }) => return,
                 _ => Told::Done,
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use violetwind_consensus::{Members, Message, Millis, NodeId, Term, Write};
 
-use crate::budget::{Def, Need, Share};
+use crate::budget::{Def, Need, Part, Share};
 use crate::events::Event;
 
 /// Of a member or a duty.
@@ -139,6 +139,8 @@
     },
     /// Something of this name has begun or ended since what the asker has seen; it is to ask with this.
     Unseen(Number),
+    /// A share as it is after the asker has lowered it.
+    Lowered(Share),
     /// There is no such session.
     Gone,
     Done,
@@ -299,6 +301,14 @@
     Saved(Number),
     /// Answered by [`Output::Answer`] with the same number.
     Call(Number, Call),
+    /// What is used of a budget that is counted elsewhere in this process, once the part of that number was in force
+    /// there; and how often it was too small, since the start.
+    Used {
+        budget: Name,
+        part: Number,
+        busy: u64,
+        denied: u64,
+    },
     /// Hand everything on, then end: [`Output::Ended`].
     Quit,
 }
@@ -309,6 +319,8 @@
     /// To be synced, in order; answered with [`Input::Saved`].
     Save(Number, Record),
     Answer(Number, Answer),
+    /// A part for whoever counts that budget elsewhere in this process; answered with [`Input::Used`].
+    Part(Name, Number, Part),
     Event(Event),
     Ended,
 }
--- /dev/null
+++ b/crates/proxy/src/fleet/allowances.rs
@@ -0,0 +1,208 @@
+//! Parts of the fleet's budgets on their way to the module, which counts them, and what it uses on the way back. On
+//! the engine's thread; without a budget that the module counts there is nothing of it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use tracing::warn;
+use violetwind_balancer::api::{Allowance, Matter};
+use violetwind_engine::Notice;
+use violetwind_fleet::budget::{Def, Kind, Part};
+use violetwind_fleet::{Name, Number};
+
+use super::settings::{Of, Settings};
+use super::{Fleet, PartOf, mono_ms};
+use crate::config::InForce;
+use crate::service::Service;
+
+/// One budget that the module counts.
+struct Counted {
+    def: Def,
+    of: Of,
+    /// The newest word of the fleet, and its number.
+    told: Option<(Number, Part)>,
+    /// What the module was last told, and by which word.
+    said: Option<(Matter, Allowance, Instant)>,
+    in_force: Number,
+}
+
+pub struct Allowances {
+    counted: BTreeMap<Name, Counted>,
+    parts: mpsc::Receiver<PartOf>,
+    fleet: Fleet,
+    engine: mpsc::Sender<Notice>,
+    config: InForce,
+    service: Rc<Service>,
+    started: Instant,
+    every: Duration,
+}
+
+impl Allowances {
+    /// None where the module counts nothing.
+    pub fn new(
+        settings: &Settings,
+        (fleet, parts): (Fleet, mpsc::Receiver<PartOf>),
+        engine: mpsc::Sender<Notice>,
+        config: InForce,
+        service: Rc<Service>,
+    ) -> Option<Self> {
+        let counted = settings.counted_by.iter().filter_map(|(name, of)| {
+            let def = settings
+                .budgets
+                .iter()
+                .find(|def| def.name == *name)?
+                .clone();
+            let counted = Counted {
+                def,
+                of: of.clone(),
+                told: None,
+                said: None,
+                in_force: 0,
+            };
+            Some((name.clone(), counted))
+        });
+        let counted: BTreeMap<Name, Counted> = counted.collect();
+        (!counted.is_empty()).then(|| Self {
+            counted,
+            parts,
+            fleet,
+            engine,
+            config,
+            service,
+            started: Instant::now(),
+            every: settings.links.uses,
+        })
+    }
+
+    /// Tells the module its first parts, before any request can come: floors alone.
+    pub async fn begin(&mut self) {
+        self.exchange().await;
+    }
+
+    /// Goes on for as long as the engine does.
+    pub async fn run(mut self) {
+        let mut ticks = interval(self.every);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {}
+                part = self.parts.recv() => match part {
+                    Some(part) => self.take(part),
+                    // The fleet's thread has ended: what was told runs out, and floors are left.
+                    None => return self.alone(ticks).await,
+                }
+            }
+            while let Ok(part) = self.parts.try_recv() {
+                self.take(part);
+            }
+            if !self.exchange().await {
+                return;
+            }
+        }
+    }
+
+    async fn alone(mut self, mut ticks: tokio::time::Interval) {
+        while self.exchange().await {
+            ticks.tick().await;
+        }
+    }
+
+    fn take(&mut self, (name, number, part): PartOf) {
+        if let Some(counted) = self.counted.get_mut(&name) {
+            counted.told = Some((number, part));
+        }
+    }
+
+    /// Tells the module what is new and hears what it uses; whether there still is an engine.
+    async fn exchange(&mut self) -> bool {
+        let (elder, started) = (self.service.has_elder(), self.started);
+        let config = self.config.get();
+        let mut news = Vec::new();
+        for counted in self.counted.values_mut() {
+            let matter = match &counted.of {
+                Of::Retries => Some(Matter::Further),
+                Of::Class(name) => config.names.class(name).map(Matter::Class),
+                Of::Tenant(name) => config.names.tenant(Some(name)).map(Matter::Tenant),
+            };
+            // The settings may name it later.
+            let Some(matter) = matter else {
+                continue;
+            };
+            let (number, part) = counted.part(elder, started);
+            // The moment first: a lease may seem shorter than it is, never longer.
+            let (at, now) = (Instant::now(), mono_ms());
+            let until = at + Duration::from_millis(part.until.saturating_sub(now));
+            let allowance = Allowance {
+                units: part.units,
+                until: 0.0,
+                after: part.after,
+                span: part.span as f64 / 1000.0,
+            };
+            let same = counted
+                .said
+                .is_some_and(|(known, said, _)| (known, said) == (matter, allowance));
+            if !same || part.until > now || counted.in_force != number {
+                news.push((matter, allowance, until));
+                counted.said = Some((matter, allowance, until));
+            }
+            counted.in_force = number;
+        }
+        let (reply, uses) = oneshot::channel();
+        if self
+            .engine
+            .send(Notice::Allowances(news, reply))
+            .await
+            .is_err()
+        {
+            return false;
+        }
+        let Ok(uses) = uses.await else {
+            return false;
+        };
+        for (name, counted) in &self.counted {
+            let said = counted.said.map(|(matter, ..)| matter);
+            match uses.iter().find(|of| Some(of.matter) == said) {
+                Some(of) => self.fleet.used(name, counted.in_force, of.busy, of.denied),
+                None if said.is_some() => warn!(budget = name, "the module counts nothing of it"),
+                // No request can be of what the settings do not name.
+                None => self.fleet.used(name, counted.in_force, 0, 0),
+            }
+        }
+        true
+    }
+}
+
+impl Counted {
+    /// What counts now: the fleet's word, or the floor alone. While the process before this one of an upgrade
+    /// is there, the floor is that one's.
+    fn part(&self, elder: bool, started: Instant) -> (Number, Part) {
+        let window = self.def.window + self.def.window / 50 + 1;
+        let quiet =
+            self.def.kind == Kind::Rate && started.elapsed() < Duration::from_millis(window);
+        let floor = if quiet { 0 } else { self.def.floor };
+        let alone = Part {
+            units: floor,
+            until: 0,
+            after: floor,
+            span: window,
+        };
+        let (number, part) = self.told.unwrap_or((0, alone));
+        match elder {
+            true => {
+                let units = part.units.saturating_sub(self.def.floor);
+                (
+                    number,
+                    Part {
+                        units,
+                        after: 0,
+                        ..part
+                    },
+                )
+            }
+            false => (number, part),
+        }
+    }
+}
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! (`store`), timers, operators' calls. It decides nothing: `violetwind_fleet` does. Neither the disk nor a
 //! peer is ever waited for on the engine's thread, and without `[fleet]` there is no thread.
 
+pub mod allowances;
 mod frames;
 mod links;
 pub mod settings;
@@ -18,6 +19,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tracing::{error, info, warn};
 use violetwind_consensus::NodeId;
+use violetwind_fleet::budget::Part;
 use violetwind_fleet::{
     Answer, Call, Config, Event, Input, Member, Name, Number, Output, Record, Saved,
 };
@@ -39,6 +41,8 @@
     /// Hand everything on, then stay away until told to begin again.
     Quit,
     Call(Call, oneshot::Sender<Answer>),
+    /// What the module uses of a budget that it counts: part in force, in use, how often too small.
+    Used(Name, Number, u64, u64),
 }
 
 /// The way to the fleet's thread.
@@ -49,28 +53,32 @@
     busy: watch::Receiver<bool>,
 }
 
+/// A part of a budget that the module counts, with its number.
+pub type PartOf = (Name, Number, Part);
+
 impl Fleet {
     /// Starts the thread, which waits for [`Fleet::begin`].
     ///
     /// # Errors
     /// The thread can't be started, or the section does not fit this proxy.
-    pub fn start(settings: Settings, node: &str) -> io::Result<Self> {
+    pub fn start(settings: Settings, node: &str) -> io::Result<(Self, mpsc::Receiver<PartOf>)> {
         settings.fits(node).map_err(io::Error::other)?;
         for warning in &settings.warnings {
             warn!(warning, "fleet");
         }
         let (words, inbox) = mpsc::channel(settings.links.calls);
         let (is_busy, busy) = watch::channel(false);
+        let (parts, told) = mpsc::channel(settings.links.parts);
         let node = node.to_string();
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
         thread::Builder::new().name("fleet".into()).spawn(move || {
             let tasks = tokio::task::LocalSet::new();
-            tasks.block_on(&runtime, live(settings, node, inbox, is_busy));
+            tasks.block_on(&runtime, live(settings, node, inbox, (is_busy, parts)));
             runtime.shutdown_background();
         })?;
-        Ok(Self { words, busy })
+        Ok((Self { words, busy }, told))
     }
 
     pub fn begin(&self) {
@@ -82,6 +90,13 @@
         let _ = self.words.try_send(Word::Quit);
     }
 
+    /// What the module uses of a budget; said again and again, so that one word may be lost.
+    pub fn used(&self, budget: &str, part: Number, busy: u64, denied: u64) {
+        let _ = self
+            .words
+            .try_send(Word::Used(budget.to_string(), part, busy, denied));
+    }
+
     pub fn busy(&self) -> bool {
         *self.busy.borrow()
     }
@@ -113,7 +128,7 @@
     settings: Settings,
     node: Name,
     mut words: mpsc::Receiver<Word>,
-    busy: watch::Sender<bool>,
+    (busy, parts): (watch::Sender<bool>, mpsc::Sender<PartOf>),
 ) {
     let settings = Rc::new(settings);
     let mut begin = false;
@@ -124,11 +139,12 @@
                 Some(Word::Begin) => begin = true,
                 Some(Word::Quit) => {}
                 Some(Word::Call(_, reply)) => drop(reply),
+                Some(Word::Used(..)) => {}
                 None => return,
             }
             continue;
         }
-        match take_part(&settings, &node, &mut words).await {
+        match take_part(&settings, &node, &mut words, &parts).await {
             Over::Quit => begin = false,
             Over::Dropped => return,
             // Set aside: it comes back as a stranger.
@@ -172,13 +188,18 @@
             word = words.recv() => match word {
                 None => return Err(Over::Dropped),
                 Some(Word::Quit) => return Err(Over::Quit),
-                Some(Word::Begin | Word::Call(..)) => {}
+                Some(Word::Begin | Word::Call(..) | Word::Used(..)) => {}
             }
         }
     }
 }
 
-async fn take_part(settings: &Rc<Settings>, node: &str, words: &mut mpsc::Receiver<Word>) -> Over {
+async fn take_part(
+    settings: &Rc<Settings>,
+    node: &str,
+    words: &mut mpsc::Receiver<Word>,
+    parts: &mpsc::Sender<PartOf>,
+) -> Over {
     let store = match &settings.dir {
         None => None,
         Some(dir) => {
@@ -228,7 +249,7 @@
     info!(fleet = settings.name, node, listen = %settings.listen, id = id.map(|id| format!("{:x}", id.0)),
         mono_ms = mono_ms(), "this proxy takes part in a fleet");
     let records = disk_thread.as_ref().map(|(records, _)| records.clone());
-    let mut part = Part::new(settings, node, saved, links, records);
+    let mut part = Process::new(settings, node, saved, (links, records), parts.clone());
     let mut ticks = interval(settings.links.tick);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut dropped = false;
@@ -248,6 +269,9 @@
                 }
                 Some(Word::Begin) => {}
                 Some(Word::Quit) => part.handle(Input::Quit),
+                Some(Word::Used(budget, number, busy, denied)) => {
+                    part.handle(Input::Used { budget, part: number, busy, denied });
+                }
                 Some(Word::Call(call, reply)) => part.call(call, reply),
             },
         }
@@ -277,8 +301,10 @@
 }
 
 /// A member, and the ways to what is around it.
-struct Part {
+struct Process {
     member: Member,
+    /// The way to what counts budgets for the module.
+    parts: mpsc::Sender<PartOf>,
     links: Rc<Links>,
     records: Option<Records>,
     /// Records on the way to the disk, and their sizes.
@@ -290,13 +316,13 @@
     over: Option<Over>,
 }
 
-impl Part {
+impl Process {
     fn new(
         settings: &Settings,
         node: &str,
         saved: Option<Saved>,
-        links: Rc<Links>,
-        records: Option<Records>,
+        (links, records): (Rc<Links>, Option<Records>),
+        parts: mpsc::Sender<PartOf>,
     ) -> Self {
         let config = Config {
             node: node.to_string(),
@@ -307,12 +333,14 @@
                 .collect(),
             duties: settings.duties.clone(),
             budgets: settings.budgets.clone(),
+            outside: settings.counted_by.keys().cloned().collect(),
             limits: settings.limits.clone(),
         };
         // The two highest bits are left free for counting on from it.
         let seed = rand::random::<u64>() >> 2;
         Self {
             member: Member::new(config, saved, seed, mono_ms()),
+            parts,
             links,
             records,
             unsynced: VecDeque::new(),
@@ -349,6 +377,12 @@
                         let _ = reply.send(answer);
                     }
                 }
+                Output::Part(budget, number, part) => {
+                    // One that is not taken is told again when it changes; until then less counts, not more.
+                    if self.parts.try_send((budget, number, part)).is_err() {
+                        warn!("the module does not take its parts of budgets");
+                    }
+                }
                 Output::Event(event) => self.event(event),
                 Output::Ended => self.over = Some(Over::Quit),
             }
--- a/crates/proxy/src/fleet/settings.rs
+++ b/crates/proxy/src/fleet/settings.rs
@@ -1,7 +1,7 @@
 //! `[fleet]` of the operator's file: who belongs together, the times and limits, and what this proxy is able to
 //! hold. Without the section there is no fleet.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -21,6 +21,8 @@
     pub peers: Vec<PeerAt>,
     pub duties: Vec<Name>,
     pub budgets: Vec<Def>,
+    /// Budgets that the module counts, and of what.
+    pub counted_by: BTreeMap<Name, Of>,
     pub limits: Limits,
     pub links: Links,
     /// What is allowed and probably not meant.
@@ -34,6 +36,16 @@
     pub votes: bool,
 }
 
+/// What the module counts for a budget.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Of {
+    /// Attempts beyond a request's first.
+    Retries,
+    /// Connections at once, of a class or a tenant of that name.
+    Class(Name),
+    Tenant(Name),
+}
+
 /// Sizes and times of links and of the directory.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Links {
@@ -57,6 +69,9 @@
     pub inbox: usize,
     /// Calls of operators that wait for an answer.
     pub calls: usize,
+    /// Parts of budgets on the way to the module, and how often it is asked what it uses.
+    pub parts: usize,
+    pub uses: Duration,
     /// Bytes of records that are not on disk yet; with more the member stops.
     pub unsynced_bytes: usize,
     /// A file of the log is written anew when it has grown by so much.
@@ -81,6 +96,8 @@
             silence: 20 * heartbeat,
             inbox: 4096,
             calls: 1024,
+            parts: 4096,
+            uses: heartbeat / 2,
             unsynced_bytes: 32 << 20,
             segment_bytes: 8 << 20,
             retry: Duration::from_millis(200),
@@ -218,7 +235,7 @@
             );
         }
         let duties = duties.into_iter().collect();
-        let budgets = budgets(section, peers.len() as u64);
+        let (budgets, counted_by) = budgets(section, peers.len() as u64);
         Self {
             name,
             listen,
@@ -227,6 +244,7 @@
             peers,
             duties,
             budgets,
+            counted_by,
             limits,
             links,
             warnings,
@@ -235,11 +253,11 @@
 }
 
 /// Budgets of the whole fleet. `members` is how many members there may be at most, whose floors are set aside.
-fn budgets(section: &Section<'_>, peers: u64) -> Vec<Def> {
+fn budgets(section: &Section<'_>, peers: u64) -> (Vec<Def>, BTreeMap<Name, Of>) {
     let ms = Duration::from_millis;
     let members = section.int("members", 1..=Caps::SESSIONS as u64, peers.max(1));
     let mut names = BTreeSet::new();
-    let mut budgets = Vec::new();
+    let (mut budgets, mut counted_by) = (Vec::new(), BTreeMap::new());
     for section in section.sections("budget") {
         let kinds = [("held", Kind::Held), ("rate", Kind::Rate)];
         if !section.has("kind") {
@@ -258,7 +276,39 @@
             members,
             version: section.int("version", 1..=u64::from(u32::MAX), 1),
         };
+        let words = [("callers", 0), ("retries", 1), ("class", 2), ("tenant", 3)];
+        let of = section.choice("of", &words, 0);
         section.finish();
+        let named = def.name.split_once(':').map(|(_, name)| name.to_string());
+        let (kind, of) = match (of, named) {
+            (0, _) => (def.kind, None),
+            (1, _) => (Kind::Rate, Some(Of::Retries)),
+            (of, Some(name)) => {
+                let of = if of == 2 {
+                    Of::Class(name)
+                } else {
+                    Of::Tenant(name)
+                };
+                (Kind::Held, Some(of))
+            }
+            (_, None) => {
+                section.wrong(
+                    "name",
+                    "expected what it is of behind a `:`, such as \"tenant:clinica-sur\"",
+                );
+                (def.kind, None)
+            }
+        };
+        if kind != def.kind {
+            section.wrong(
+                "kind",
+                "retries are a rate; connections of a class or a tenant are held",
+            );
+        }
+        if of.is_some() && counted_by.values().any(|known| Some(known) == of.as_ref()) {
+            section.wrong("of", "another budget is of the same");
+        }
+        counted_by.extend(of.map(|of| (def.name.clone(), of)));
         if let Err(what) = def.check() {
             section.wrong("floor", what);
         }
@@ -273,7 +323,7 @@
             format!("{} budgets, {} at most", budgets.len(), Caps::BUDGETS),
         );
     }
-    budgets
+    (budgets, counted_by)
 }
 
 /// A name that must be there: it goes into frames, calls and logs.
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -147,6 +147,7 @@
             };
             let ended = Talk::new(self.link, &side, role).run().await;
             requests.lend(0);
+            side.shared.service.set_elder(false);
             info!(?ended, "the earlier process has gone");
         });
         async move || {
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -51,6 +51,7 @@
 use crate::discovery::Tells;
 use crate::first_lines::FirstLines;
 use crate::fleet::Fleet;
+use crate::fleet::allowances::Allowances;
 use crate::handover::{Before, Side};
 use crate::limits::{Descriptors, Limits};
 use crate::operator::{Layers, Operator};
@@ -192,9 +193,12 @@
         None => None,
     };
     let told = (before.bans, before.left, before.discovery);
-    let fleet = match &operator.fleet {
-        Some(settings) => Some(Fleet::start(settings.clone(), &config.name)?),
-        None => None,
+    let (fleet, parts) = match &operator.fleet {
+        Some(settings) => {
+            let (fleet, parts) = Fleet::start(settings.clone(), &config.name)?;
+            (Some(fleet), Some(parts))
+        }
+        None => (None, None),
     };
     let service = Service::new(
         &limits,
@@ -202,8 +206,9 @@
         is_ready.clone(),
         dir.clone(),
         told,
-        fleet,
+        fleet.clone(),
     );
+    service.set_elder(before.elder.is_some());
     let engine_too = notices.clone();
     let shared = Shared::new(
         &in_force,
@@ -215,6 +220,19 @@
         recording,
     );
     let engine = tokio::task::spawn_local(engine.run(inbox, known.rows, ready.clone()));
+    if let (Some(settings), Some(fleet), Some(parts)) = (&operator.fleet, fleet, parts) {
+        let counted = Allowances::new(
+            settings,
+            (fleet, parts),
+            notices.clone(),
+            in_force.clone(),
+            service.clone(),
+        );
+        if let Some(mut allowances) = counted {
+            allowances.begin().await;
+            tokio::task::spawn_local(allowances.run());
+        }
+    }
     let Reloaded { discovery, sources } = reloaded;
     match weighed {
         true => {
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -52,6 +52,8 @@
     /// The way for connections to a successor that serves.
     heir: RefCell<Option<mpsc::Sender<Given>>>,
     fleet: Option<Fleet>,
+    /// The process before this one of an upgrade has not gone yet.
+    elder: Cell<bool>,
 }
 
 impl Service {
@@ -76,6 +78,7 @@
             next_other: Cell::default(),
             heir: RefCell::default(),
             fleet,
+            elder: Cell::new(false),
         })
     }
 
@@ -100,6 +103,14 @@
         }
     }
 
+    pub fn set_elder(&self, is_there: bool) {
+        self.elder.set(is_there);
+    }
+
+    pub fn has_elder(&self) -> bool {
+        self.elder.get()
+    }
+
     /// Whether duties are still to be handed on.
     pub fn hands_on(&self) -> bool {
         self.fleet.as_ref().is_some_and(Fleet::busy)
--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -8,6 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use violetwind_standins::Peer;
 use violetwind_standins::members::{Members, Spec};
 use violetwind_standins::relay::Way;
 
@@ -315,3 +316,95 @@
     books.used = vec![(now, now); RATE + 1];
     assert!(books.most > WHOLE && books.most_in_a_window() > RATE);
 }
+
+/// A client of the class that the budget is of, up with its server's side, or refused with a time to come back.
+fn client(members: &Members, at: usize, id: &mut u64) -> Option<(Peer, Peer)> {
+    let mut client = Peer::connect(members.addr(at));
+    *id += 1;
+    client.say(&format!("OPEN {id:016x} 7f3a9c21e0b4d655 c=watch,d=2000"));
+    let asked = Instant::now();
+    match members
+        .server
+        .opened_or(|| asked.elapsed() > Duration::from_millis(250))
+    {
+        Some((_, mut conn)) => {
+            conn.say("UP 77aa");
+            assert_eq!(client.hear(), "UP 77aa");
+            Some((client, conn))
+        }
+        None => {
+            let answer = client.hear();
+            let wait = answer
+                .strip_prefix("BUSY ")
+                .and_then(|wait| wait.parse::<u64>().ok());
+            assert!(wait.is_some(), "{answer}");
+            None
+        }
+    }
+}
+
+/// The module counts: clients of a class over three proxies, pressed at one and then at another, and cut off.
+#[test]
+fn clients_of_a_class_stay_within_the_whole_over_three_proxies() {
+    let mut spec = spec(3, 0);
+    spec.lines = "[[fleet.budget]]\nname = \"class:watch\"\nof = \"class\"\nkind = \"held\"\nwhole = 12\nfloor = 1\n".into();
+    let members = Members::start(spec);
+    whole(&members);
+    let (mut id, mut up) = (0x51c3_a9be_00d2_0000, Vec::new());
+    // One proxy gets all but the floors of the two others.
+    let begun = Instant::now();
+    while up.len() < 10 {
+        assert!(
+            begun.elapsed() < Duration::from_secs(10),
+            "{} up\n{}",
+            up.len(),
+            members.log()
+        );
+        up.extend(client(&members, 0, &mut id));
+    }
+    assert!(client(&members, 0, &mut id).is_none() && client(&members, 0, &mut id).is_none());
+    // A first client at another waits for nobody, and its second is one too many.
+    let other = client(&members, 1, &mut id).expect("its floor");
+    assert!(client(&members, 1, &mut id).is_none());
+    // Six leave; their units go to where they are wanted.
+    up.truncate(4);
+    up.push(other);
+    let begun = Instant::now();
+    while up.len() < 11 {
+        assert!(
+            begun.elapsed() < Duration::from_secs(10),
+            "{} up\n{}",
+            up.len(),
+            members.log()
+        );
+        up.extend(client(&members, 1, &mut id));
+    }
+    // Cut off from the fleet it keeps what it has, and takes no new one beyond its floor.
+    members.part(&[1], &[0, 2], Way::Swallow);
+    members.until("it says so", |members| {
+        members.logged(1, "nobody that leads").then_some(())
+    });
+    up.pop();
+    assert!(client(&members, 1, &mut id).is_none());
+    for (client, conn) in &mut up {
+        conn.say("line");
+        assert_eq!(client.hear(), "line");
+    }
+    members.heal();
+    let begun = Instant::now();
+    while up.len() < 11 {
+        assert!(
+            begun.elapsed() < Duration::from_secs(10),
+            "{} up\n{}",
+            up.len(),
+            members.log()
+        );
+        up.extend(client(&members, 1, &mut id));
+    }
+    let view = members.until("a view", |members| members.view(2));
+    let budget = &view["budgets"][0];
+    assert!(
+        budget["name"] == "class:watch" && budget["whole"] == 12,
+        "{budget}"
+    );
+}
--- a/crates/storm/src/fleet.rs
+++ b/crates/storm/src/fleet.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use violetwind_consensus::{Millis, NodeId};
-use violetwind_fleet::budget::{Def, Kind};
+use violetwind_fleet::budget::{Def, Kind, Part};
 use violetwind_fleet::{
     Answer, Call, Config, Event, Input, Limits, Member, Name, Number, Order, Output, Peer, Record,
     Saved, Why,
@@ -74,6 +74,11 @@
     /// Units asked for, and units in use, by budget and token.
     asked: BTreeMap<Number, (Name, Name)>,
     units: BTreeSet<(Name, Name)>,
+    /// What the counter outside was told, how often it was too small, and its words on the way back.
+    parts: BTreeMap<Name, Part>,
+    denied: BTreeMap<Name, u64>,
+    words: VecDeque<(Millis, Name, Number)>,
+    used: BTreeMap<Name, VecDeque<Millis>>,
     pub stale: bool,
     pub quit: bool,
 }
@@ -104,6 +109,8 @@
     pub leads: usize,
     pub answers: BTreeMap<Number, Answer>,
     pub budgets: Vec<Def>,
+    /// Budgets that are counted outside of the member, as the proxy's own module counts.
+    pub outside: BTreeSet<Name>,
     /// Clients press no more of the budgets than these, the first ones.
     pub pressed: usize,
     /// Members whose files have other budgets.
@@ -134,6 +141,17 @@
         Self::with_budgets(seed, voters, others, planted, Vec::new())
     }
 
+    /// The named budgets are counted outside of members, as a proxy's module counts.
+    pub fn counted_outside(mut self, names: &[&str]) -> Self {
+        self.outside = names.iter().map(|name| name.to_string()).collect();
+        let hosts: Vec<Name> = self.hosts.keys().cloned().collect();
+        for name in hosts {
+            self.kill(&name);
+            self.start(&name);
+        }
+        self
+    }
+
     pub fn with_budgets(
         seed: u64,
         voters: usize,
@@ -170,6 +188,7 @@
             leads: 0,
             answers: BTreeMap::new(),
             budgets,
+            outside: BTreeSet::new(),
             pressed: usize::MAX,
             files: BTreeMap::new(),
             press: BTreeMap::new(),
@@ -204,6 +223,10 @@
                 calls: BTreeMap::new(),
                 asked: BTreeMap::new(),
                 units: BTreeSet::new(),
+                parts: BTreeMap::new(),
+                denied: BTreeMap::new(),
+                words: VecDeque::new(),
+                used: BTreeMap::new(),
                 stale: false,
                 quit: false,
             };
@@ -226,6 +249,7 @@
             peers: self.peers.clone(),
             duties: self.duties.clone(),
             budgets: self.files.get(name).unwrap_or(&self.budgets).clone(),
+            outside: self.outside.clone(),
             limits,
         };
         let at = host.clock.at(self.now);
@@ -265,6 +289,10 @@
         host.asked.clear();
         // Its connections end with it.
         host.units.clear();
+        host.parts.clear();
+        host.denied.clear();
+        host.words.clear();
+        host.used.clear();
         let unsynced: Vec<_> = host.unsynced.drain(..).collect();
         if let Some(saved) = host
             .saved
@@ -338,6 +366,7 @@
             }
             self.input(name, Input::Tick);
             self.work(name);
+            self.count_outside(name);
             self.use_budgets(name);
         }
         self.check();
@@ -379,6 +408,92 @@
         }
     }
 
+    /// The counter outside: its words go back to the member in their order, with what is used when they go.
+    fn count_outside(&mut self, name: &str) {
+        while let Some((due, budget, number)) = self.hosts[name].words.front().cloned() {
+            if due > self.now {
+                return;
+            }
+            self.hosts.get_mut(name).unwrap().words.pop_front();
+            let busy = self.busy_outside(name, &budget);
+            let denied = self.hosts[name].denied.get(&budget).copied().unwrap_or(0);
+            self.input(
+                name,
+                Input::Used {
+                    budget,
+                    part: number,
+                    busy,
+                    denied,
+                },
+            );
+        }
+        if self.rng.random_bool(0.1) {
+            for budget in self.outside.clone() {
+                let busy = self.busy_outside(name, &budget);
+                let denied = self.hosts[name].denied.get(&budget).copied().unwrap_or(0);
+                self.input(
+                    name,
+                    Input::Used {
+                        budget,
+                        part: 0,
+                        busy,
+                        denied,
+                    },
+                );
+            }
+        }
+    }
+
+    fn busy_outside(&mut self, name: &str, budget: &str) -> u64 {
+        let now = self.now;
+        let host = self.hosts.get_mut(name).unwrap();
+        let at = host.clock.at(now);
+        let span = host.parts.get(budget).map_or(0, |part| part.span);
+        match self
+            .budgets
+            .iter()
+            .find(|def| def.name == budget)
+            .map(|def| def.kind)
+        {
+            Some(Kind::Rate) => {
+                let used = host.used.entry(budget.to_string()).or_default();
+                while used.front().is_some_and(|used| at >= *used + span) {
+                    used.pop_front();
+                }
+                used.len() as u64
+            }
+            _ => host.units.iter().filter(|(of, _)| of == budget).count() as u64,
+        }
+    }
+
+    fn take_outside(&mut self, name: &str, budget: &str, token: Name) {
+        let busy = self.busy_outside(name, budget);
+        let now = self.now;
+        let host = self.hosts.get_mut(name).unwrap();
+        if host.member.is_none() {
+            return;
+        }
+        let at = host.clock.at(now);
+        let Some(part) = host.parts.get(budget) else {
+            return;
+        };
+        let units = if at < part.until {
+            part.units
+        } else {
+            part.after
+        };
+        if busy < units {
+            host.used
+                .entry(budget.to_string())
+                .or_default()
+                .push_back(at);
+            self.unit(name, (budget.to_string(), token));
+        } else {
+            *host.denied.entry(budget.to_string()).or_default() += 1;
+            self.refused += 1;
+        }
+    }
+
     /// Clients come and go: units are asked for and given back.
     fn use_budgets(&mut self, name: &str) {
         let press = self.press.get(name).copied().unwrap_or(0.0);
@@ -392,6 +507,11 @@
                 left -= 1.0;
                 let token = format!("t{}", self.next + 1);
                 let key = (def.name.clone(), token.clone());
+                if self.outside.contains(&def.name) {
+                    self.next += 1;
+                    self.take_outside(name, &def.name, token);
+                    continue;
+                }
                 let number = self.next + 1;
                 self.hosts.get_mut(name).unwrap().asked.insert(number, key);
                 let wait = [0, 100][self.rng.random_range(0..2)];
@@ -418,6 +538,9 @@
                     .unwrap()
                     .units
                     .remove(&(budget.clone(), token.clone()));
+                if self.outside.contains(&budget) {
+                    continue;
+                }
                 self.call(name, Call::Give { budget, token });
             }
         }
@@ -520,6 +643,13 @@
                     }
                 }
                 Output::Answer(number, answer) => self.answered(name, number, answer),
+                Output::Part(budget, number, part) => {
+                    // It comes to the counter at once, and the counter's word some time later.
+                    let late = self.rng.random_range(0..60);
+                    let host = self.hosts.get_mut(name).unwrap();
+                    host.parts.insert(budget.clone(), part);
+                    host.words.push_back((now + late, budget, number));
+                }
                 Output::Event(event) => self.event(name, event),
                 Output::Ended => {
                     let host = self.hosts.get_mut(name).unwrap();
@@ -769,7 +899,8 @@
         let now = self.now;
         for host in self.hosts.values_mut() {
             (host.stopped, host.sync) = (0, 2);
-            if host.member.is_none() {
+            // Who was to come back later has done so; the last fault is over.
+            if host.member.is_none() || host.back.is_some() {
                 host.back = Some(now + 10);
             }
         }
