--- a/crates/fleet/src/budget/divide.rs
+++ b/crates/fleet/src/budget/divide.rs
@@ -68,7 +68,11 @@
     }
 
     /// Divides what has changed. Says whose shares are to grow, and who is to be asked to lower its own.
-    pub fn divide(&mut self, budgets: &BTreeMap<Name, Shares>) -> (Vec<Raise>, Vec<SessionId>) {
+    pub fn divide(
+        &mut self,
+        budgets: &BTreeMap<Name, Shares>,
+        weight: impl Fn(SessionId) -> u64,
+    ) -> (Vec<Raise>, Vec<SessionId>) {
         let (mut raises, mut asked) = (Vec::new(), Vec::new());
         for name in std::mem::take(&mut self.changed) {
             for of in self.lower.values_mut() {
@@ -86,14 +90,15 @@
                 .map(|stranded| stranded.units)
                 .sum();
             let room = budget.pool().saturating_sub(stranded);
-            let wants: Vec<(SessionId, u64)> =
-                needs.iter().map(|(id, (_, wants))| (*id, *wants)).collect();
+            let wants: Vec<_> = needs
+                .iter()
+                .map(|(id, (_, wants))| (*id, *wants, weight(*id)))
+                .collect();
             let real = fair(&wants, room);
             // What is left goes to those who use some, so that their next one need not wait.
-            let ahead: Vec<_> = wants
-                .iter()
-                .filter(|(_, wants)| *wants > 0)
-                .map(|(id, wants)| (*id, 1 + wants / 8))
+            let using = wants.iter().filter(|(_, wants, _)| *wants > 0);
+            let ahead: Vec<_> = using
+                .map(|(id, wants, weight)| (*id, 1 + wants / 8, *weight))
                 .collect();
             let ahead = fair(&ahead, room - real.values().sum::<u64>());
             let target = |session: &SessionId| {
@@ -145,23 +150,22 @@
     }
 }
 
-/// Max-min fair: nobody gets more than it wants, and who gets less than it wants gets no less than anybody else but
-/// for one unit.
-fn fair(wants: &[(SessionId, u64)], room: u64) -> BTreeMap<SessionId, u64> {
+/// Max-min fair by weights: nobody gets more than it wants, and who gets less than it wants gets no less by its
+/// weight than anybody else but for one unit. Takes session, wish and weight.
+fn fair(wants: &[(SessionId, u64, u64)], room: u64) -> BTreeMap<SessionId, u64> {
     let mut by_want: Vec<_> = wants.to_vec();
-    by_want.sort_by_key(|(session, wants)| (*wants, *session));
-    let (mut left, mut count) = (room, by_want.len() as u64);
+    // Whose wish is smallest by its weight is served first, and leaves what it does not want to the others.
+    by_want.sort_by(|a, b| (a.1 * b.2, a.0).cmp(&(b.1 * a.2, b.0)));
+    let mut weights: u64 = by_want.iter().map(|(.., weight)| weight).sum();
+    let mut left = room;
     let mut targets = BTreeMap::new();
-    for (session, wants) in by_want {
-        // Rounded up for those who want more: the largest wants come last and take what is left.
-        let part = left / count;
-        let got = wants.min(part);
+    for (session, wants, weight) in by_want {
+        let got = wants.min(left * weight / weights.max(1));
         targets.insert(session, got);
-        left -= got;
-        count -= 1;
+        (left, weights) = (left - got, weights - weight);
     }
     // Units that rounding has left go to whoever still wants one, one each, the smallest sessions first.
-    for (session, wants) in wants {
+    for (session, wants, _) in wants {
         if left == 0 {
             break;
         }
@@ -184,7 +188,7 @@
             let wants: Vec<_> = wants
                 .iter()
                 .enumerate()
-                .map(|(at, wants)| (at as u64, *wants))
+                .map(|(at, wants)| (at as u64, *wants, 1))
                 .collect();
             fair(&wants, room).into_values().collect()
         };
@@ -193,5 +197,14 @@
         assert_eq!(shown(&[9, 9, 9], 10), [3, 3, 4]);
         assert_eq!(shown(&[5, 5, 5, 5], 3).iter().sum::<u64>(), 3);
         assert_eq!(shown(&[0, 7], 3), [0, 3]);
+        // By weights: three to one, and what the heavier does not want goes to the other.
+        let weighed = |wants: [u64; 2], room| {
+            fair(&[(1, wants[0], 3), (2, wants[1], 1)], room)
+                .into_values()
+                .collect::<Vec<_>>()
+        };
+        assert_eq!(weighed([50, 50], 40), [30, 10]);
+        assert_eq!(weighed([10, 50], 40), [10, 30]);
+        assert_eq!(weighed([50, 4], 40), [36, 4]);
     }
 }
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -435,6 +435,7 @@
                     replaces: session.map(|session| session.id),
                     process: self.process,
                     seen: self.seen,
+                    weight: limits.weight,
                     budgets: self.budgets.clone(),
                     uses: self.meters.uses(now, limits),
                 };
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -16,6 +16,8 @@
     pub again: Millis,
     /// Who ends waits so long for its duties to be taken over.
     pub quit: Millis,
+    /// Of what is divided this member gets so much more than one of weight 1.
+    pub weight: u64,
     /// Needs that a member tells with one renewal.
     pub needs: usize,
     /// After a new process of a name has begun: what the one before held is not given out again for so long, until
@@ -60,6 +62,7 @@
             renew: lease / 5,
             again: lease / 10,
             quit: lease,
+            weight: 1,
             needs: 256,
             linger: 1000,
             waits: 1024,
@@ -102,6 +105,7 @@
     /// Members that were put out and may not come back.
     pub const BARRED: usize = 1024;
     pub const BUDGETS: usize = 1024;
+    pub const WEIGHT: u64 = 1000;
     /// Stranded shares of one budget that are kept apart.
     pub const STRANDED: usize = 4096;
 }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1056,6 +1056,7 @@
                 replaces,
                 process,
                 seen,
+                weight,
                 budgets,
                 uses,
             } => {
@@ -1085,6 +1086,7 @@
                             replaces: *replaces,
                             process: *process,
                             seen: *seen,
+                            weight: *weight,
                             budgets: budgets.clone(),
                             uses: uses.clone(),
                         })
@@ -1430,7 +1432,9 @@
             return;
         }
         let state = &running.state;
-        let (mut raises, lowers) = running.divider.divide(state.budgets());
+        let (mut raises, lowers) = running.divider.divide(state.budgets(), |id| {
+            state.sessions().get(&id).map_or(1, |known| known.weight)
+        });
         // Who counts another way than is in force gets nothing.
         raises.retain(|(budget, session, ..)| state.fits(*session, budget));
         let mut names: BTreeSet<Name> = BTreeSet::new();
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -21,6 +21,8 @@
         replaces: Option<SessionId>,
         process: Number,
         seen: Number,
+        /// Of what is divided it gets so much more than one of weight 1.
+        weight: u64,
         budgets: Vec<Def>,
         /// In use beyond floors of what this process had before.
         uses: Vec<(Name, u64)>,
@@ -97,6 +99,7 @@
     pub nonce: Number,
     pub wants: BTreeSet<Name>,
     pub process: Number,
+    pub weight: u64,
     /// Of its budgets.
     file: u64,
     /// Grows with each change of its shares.
@@ -243,6 +246,7 @@
                 replaces,
                 process,
                 seen,
+                weight,
                 budgets,
                 uses,
             } => self.join(Wanted {
@@ -252,6 +256,7 @@
                 replaces,
                 process,
                 seen,
+                weight,
                 budgets,
                 uses,
             }),
@@ -378,6 +383,7 @@
             replaces,
             process,
             seen,
+            weight,
             budgets,
             uses,
         } = wanted;
@@ -451,6 +457,7 @@
             nonce,
             wants,
             process,
+            weight: weight.clamp(1, Caps::WEIGHT),
             file,
             shares: 1,
         };
@@ -574,6 +581,7 @@
     replaces: Option<SessionId>,
     process: Number,
     seen: Number,
+    weight: u64,
     budgets: Vec<Def>,
     uses: Vec<(Name, u64)>,
 }
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -55,6 +55,7 @@
         process: Number,
         /// The last number that the log had given when it was told: whoever has died since can't know it.
         seen: Number,
+        weight: u64,
         budgets: Vec<Def>,
         uses: Vec<(Name, u64)>,
     },
--- a/crates/proxy/src/fleet/settings.rs
+++ b/crates/proxy/src/fleet/settings.rs
@@ -154,6 +154,7 @@
         let lease = span("lease", 200, 600_000, base.lease);
         let election = span("election", 50, 60_000, base.log.election);
         let mut limits = Limits::with(lease, election);
+        limits.weight = section.int("weight", 1..=Caps::WEIGHT, limits.weight);
         limits.margin = span("margin", 1, 300_000, limits.margin);
         match limits.check() {
             Ok(()) => {}
