--- a/crates/fleet/src/budget/meter.rs
+++ b/crates/fleet/src/budget/meter.rs
@@ -70,7 +70,7 @@
             self.used.pop_front();
         }
         let span = match self.def.kind {
-            Kind::Held => 2 * limits.renew,
+            Kind::Held => limits.renew / 2,
             Kind::Rate => window,
         };
         while self.denied.front().is_some_and(|at| now >= *at + span) {
@@ -299,11 +299,9 @@
                 wants,
             };
             let known = self.told.get(name);
-            let told = known.map_or(0, |known| known.wants);
-            // The leader gives some room ahead: only what goes beyond half of that is news, or falls far short.
-            let within = told * 3 / 4 <= wants && wants <= told + told / 16;
-            let same = wants == told || (within && denied == 0 && wants > 0);
-            if same && (known.is_some() || wants == 0) {
+            // It goes with a renewal that is due anyway.
+            let same = known.is_some_and(|known| *known == need);
+            if same || (known.is_none() && wants == 0 && busy == 0) {
                 continue;
             }
             self.told.insert(name.clone(), need.clone());
@@ -359,12 +357,12 @@
 
     /// The share as the log had it after a word of this member.
     pub fn now(&mut self, budget: &str, share: Share) {
-        if let Some(meter) = self
-            .meters
-            .get_mut(budget)
-            .filter(|meter| share.version > meter.share.version)
-        {
-            meter.share = share;
+        if let Some(meter) = self.meters.get_mut(budget) {
+            let known = meter.share;
+            let newer = share.version > known.version;
+            if newer || share.version == known.version && share.units < known.units {
+                meter.share = share;
+            }
         }
     }
 
--- a/crates/fleet/src/budget/shares.rs
+++ b/crates/fleet/src/budget/shares.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
     pub units: u64,
-    /// Grows with each change; a change names the one that it is made upon.
+    /// Grows when units do; a change names the one that it is made upon.
     pub version: u64,
 }
 
@@ -121,14 +121,12 @@
         true
     }
 
-    /// Whether it was lowered, by its member's own word.
+    /// Whether it was lowered, by its member's own word. That leaves the version: words that it uses less and less may
+    /// follow each other without waiting, and a late one lowers nothing.
     pub fn lower(&mut self, session: SessionId, to: u64, version: u64) -> bool {
         match self.shares.get_mut(&session) {
             Some(known) if known.version == version && to < known.units => {
-                *known = Share {
-                    units: to,
-                    version: version + 1,
-                };
+                known.units = to;
                 true
             }
             _ => false,
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -8,7 +8,7 @@
 use crate::budget::{Def, Kind, Meters, Part, Taken};
 use crate::events::{Event, Why};
 use crate::limits::Limits;
-use crate::words::{Ask, Name, Number, SessionId, Told};
+use crate::words::{Ask, Name, Number, SessionId, SharesOf, Told};
 
 /// Asks whose answers may still come.
 const OUT: usize = 16;
@@ -17,7 +17,7 @@
 enum What {
     Join,
     Renew,
-    Release(Name),
+    Release(Name, Number),
     Lower(Name),
     Retire,
     Leave,
@@ -190,7 +190,7 @@
     /// Somebody waits: the leader is told sooner, but not again and again.
     fn press(&mut self, now: Millis, limits: &Limits) {
         if self.meters.pressed() {
-            self.ask_at = self.ask_at.min(now.max(self.renewed_at + limits.renew / 4));
+            self.ask_at = self.ask_at.min(now.max(self.renewed_at + limits.renew / 8));
         }
     }
 
@@ -264,6 +264,18 @@
         self.out.retain(|(_, _, what)| *what != What::Renew);
     }
 
+    /// Shares as the log has them, and what they are to go down to.
+    pub fn news(&mut self, session: SessionId, at: u64, shares: &SharesOf, lower: &[(Name, u64)]) {
+        let known = self.session.as_ref();
+        let counts = known.is_some_and(|known| known.id == session && !known.lapsed);
+        if counts && !self.leaves {
+            self.meters.shares(shares.0, &shares.1);
+            if at >= self.at {
+                self.meters.lower(lower);
+            }
+        }
+    }
+
     /// The leader was found: it is asked at once, but two that take each other for it are not asked in turns.
     pub fn hurry(&mut self, now: Millis, limits: &Limits) {
         if now >= self.hurried + limits.again {
@@ -390,7 +402,9 @@
                 self.left = true;
                 return None;
             }
-            (Some(session), Some(duty)) if !asked(&What::Release(duty.clone())) => {
+            (Some(session), Some(duty))
+                if !asked(&What::Release(duty.clone(), self.giving[&duty].fence)) =>
+            {
                 let giving = &self.giving[&duty];
                 let ask = Ask::Release {
                     session: session.id,
@@ -398,7 +412,7 @@
                     fence: giving.fence,
                     to: giving.to.clone(),
                 };
-                (What::Release(duty), ask)
+                (What::Release(duty, giving.fence), ask)
             }
             (Some(session), _) if lowered.is_some() => {
                 let (budget, to, version) = lowered.expect("just seen");
@@ -532,9 +546,13 @@
                 self.no_session(Why::SessionOver, events);
                 self.renounce(now);
             }
-            (What::Release(duty), Told::Done) => {
-                self.giving.remove(&duty);
+            // The word may be about a holding before the one that is given up now.
+            (What::Release(duty, fence), Told::Done) => {
+                self.giving
+                    .retain(|name, giving| *name != duty || giving.fence != fence);
             }
+            // Once it has said what it uses and that it leaves, no share counts again.
+            (What::Lower(_), Told::Lowered(_)) if self.leaves => {}
             (What::Lower(budget), Told::Lowered(share)) => self.meters.now(&budget, *share),
             (What::Retire, Told::Done) => self.retired = true,
             (What::Leave | What::Retire, Told::Done | Told::Gone) => self.left = true,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -453,7 +453,18 @@
             }
             Peer::Ask(number, ask) => self.asked(from, number, ask),
             Peer::Told(number, told) => self.told(from, number, told),
-            Peer::Nudge => self.holder.nudge(now),
+            Peer::Nudge {
+                session,
+                at,
+                shares,
+                lower,
+                at_once,
+            } => {
+                self.holder.news(session, at, &shares, &lower);
+                if at_once {
+                    self.holder.nudge(now);
+                }
+            }
         }
     }
 
@@ -936,20 +947,17 @@
                             .filter(|(duty, at)| before.get(duty) != Some(at));
                         let moved: BTreeSet<_> =
                             moved.filter_map(|(_, (holder, _))| holder).collect();
-                        let sessions = running.state.sessions();
-                        let names = moved.iter().filter_map(|(id, _)| sessions.get(id));
-                        let grown = raised.iter().filter_map(|id| sessions.get(id));
-                        let names: BTreeSet<Name> = names
-                            .chain(grown)
-                            .map(|session| session.name.clone())
-                            .collect();
                         running
                             .grantor
                             .keep(|id| running.state.sessions().contains_key(&id));
                         running
                             .divider
                             .keep(|id| running.state.sessions().contains_key(&id));
-                        names.into_iter().for_each(|name| self.nudge(name));
+                        let moved = moved.into_iter().map(|(id, _)| id);
+                        let urgent: BTreeSet<SessionId> = moved.collect();
+                        let grown: Vec<_> = raised.difference(&urgent).copied().collect();
+                        urgent.into_iter().for_each(|id| self.nudge(id, true));
+                        grown.into_iter().for_each(|id| self.nudge(id, false));
                     }
                     effect
                 }
@@ -996,11 +1004,32 @@
         self.reply(from, number, told);
     }
 
-    fn nudge(&mut self, name: Name) {
+    fn nudge(&mut self, session: SessionId, at_once: bool) {
+        let Some(running) = self.running() else {
+            return;
+        };
+        let Some(known) = running.state.sessions().get(&session) else {
+            return;
+        };
+        let (name, at) = (known.name.clone(), running.applied);
+        let (shares, lower) = (
+            running.state.shares(session),
+            running.divider.lower(session),
+        );
         if name == self.config.node {
-            self.holder.nudge(self.now);
+            self.holder.news(session, at, &shares, &lower);
+            if at_once {
+                self.holder.nudge(self.now);
+            }
         } else {
-            self.out.push(Output::Send(name, Peer::Nudge));
+            let nudge = Peer::Nudge {
+                session,
+                at,
+                shares,
+                lower,
+                at_once,
+            };
+            self.out.push(Output::Send(name, nudge));
         }
     }
 
@@ -1437,9 +1466,6 @@
         });
         // Who counts another way than is in force gets nothing.
         raises.retain(|(budget, session, ..)| state.fits(*session, budget));
-        let mut names: BTreeSet<Name> = BTreeSet::new();
-        let of = |id: SessionId| state.sessions().get(&id).map(|known| known.name.clone());
-        names.extend(lowers.into_iter().filter_map(of));
         if !raises.is_empty() {
             let command = Command::Raise {
                 changes: raises.clone(),
@@ -1451,7 +1477,8 @@
                     .for_each(|(budget, ..)| running.divider.touch(budget)),
             }
         }
-        names.into_iter().for_each(|name| self.nudge(name));
+        let asked: BTreeSet<SessionId> = lowers.into_iter().collect();
+        asked.into_iter().for_each(|id| self.nudge(id, true));
     }
 }
 
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -26,8 +26,15 @@
     },
     Ask(Number, Ask),
     Told(Number, Told),
-    /// Renew at once: there is news.
-    Nudge,
+    /// There is news of a session. What is said of shares is committed, so it counts for as long as the lease that
+    /// the receiver has; it may ask again `at_once`.
+    Nudge {
+        session: SessionId,
+        at: u64,
+        shares: SharesOf,
+        lower: Vec<(Name, u64)>,
+        at_once: bool,
+    },
 }
 
 /// Where a voter stands before there is a fleet.
--- a/crates/fleet/tests/budgets.rs
+++ b/crates/fleet/tests/budgets.rs
@@ -79,11 +79,12 @@
     );
 }
 
-/// A word of a process before the one that runs freed what that one used (4545), or a share that was being lowered
-/// went back up while the word was on its way (1256).
+/// A word of a process before the one that runs freed what that one used (4545), a share that was being lowered
+/// went back up while the word was on its way (1256), a late answer gave a leaver its share back (1766), or one about
+/// an earlier holding left a duty with who had given it up (3894).
 #[test]
 fn seeds_that_have_found_something_stay_clean() {
-    for seed in [4545, 3045, 1256] {
+    for seed in [4545, 3045, 1256, 1766, 3894] {
         campaign(seed..seed + 1);
     }
 }
--- a/crates/storm/src/fleet.rs
+++ b/crates/storm/src/fleet.rs
@@ -127,6 +127,13 @@
     pub told: Vec<String>,
 }
 
+impl Host {
+    /// Units in use here.
+    pub fn units(&self) -> usize {
+        self.units.len()
+    }
+}
+
 pub fn name(at: usize) -> Name {
     format!("node-{at}")
 }
