Telling the fleet to hand on never waits behind calls

Begin and quit stood in the queue of calls: with 1,024 calls waiting a proxy would have ended without handing its duties on. Seen on reading once more; they are a word of their own now.

--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -36,10 +36,6 @@
 }
 
 enum Word {
-    /// Take part, from now on.
-    Begin,
-    /// Hand everything on, then stay away until told to begin again.
-    Quit,
     Call(Call, oneshot::Sender<Answer>),
     /// What the module uses of a budget that it counts: part in force, in use, how often too small.
     Used(Name, Number, u64, u64),
@@ -49,6 +45,8 @@
 #[derive(Clone)]
 pub struct Fleet {
     words: mpsc::Sender<Word>,
+    /// Whether it is to take part: told to hand on, it hands on and stays away until it is wanted again.
+    wanted: watch::Sender<bool>,
     /// Whether it takes part, or still hands on.
     busy: watch::Receiver<bool>,
 }
@@ -68,6 +66,11 @@
         }
         let (words, inbox) = mpsc::channel(settings.links.calls);
         let (is_busy, busy) = watch::channel(false);
+        let (wanted, is_wanted) = watch::channel(false);
+        let inbox = Inbox {
+            words: inbox,
+            wanted: is_wanted,
+        };
         let (parts, told) = mpsc::channel(settings.links.parts);
         let node = node.to_string();
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -78,16 +81,20 @@
             tasks.block_on(&runtime, live(settings, node, inbox, (is_busy, parts)));
             runtime.shutdown_background();
         })?;
-        Ok((Self { words, busy }, told))
+        let fleet = Self {
+            words,
+            wanted,
+            busy,
+        };
+        Ok((fleet, told))
     }
 
     pub fn begin(&self) {
-        // A thread that does not take a word has ended, or as many wait as may: calls fail then.
-        let _ = self.words.try_send(Word::Begin);
+        self.wanted.send_replace(true);
     }
 
     pub fn quit(&self) {
-        let _ = self.words.try_send(Word::Quit);
+        self.wanted.send_replace(false);
     }
 
     /// What the module uses of a budget; said again and again, so that one word may be lost.
@@ -113,6 +120,12 @@
     }
 }
 
+/// What the fleet's thread hears from the proxy.
+struct Inbox {
+    words: mpsc::Receiver<Word>,
+    wanted: watch::Receiver<bool>,
+}
+
 /// Why a member is over.
 enum Over {
     Quit,
@@ -127,25 +140,25 @@
 async fn live(
     settings: Settings,
     node: Name,
-    mut words: mpsc::Receiver<Word>,
+    mut inbox: Inbox,
     (busy, parts): (watch::Sender<bool>, mpsc::Sender<PartOf>),
 ) {
     let settings = Rc::new(settings);
-    let mut begin = false;
     loop {
-        busy.send_replace(begin);
-        if !begin {
-            match words.recv().await {
-                Some(Word::Begin) => begin = true,
-                Some(Word::Quit) => {}
-                Some(Word::Call(_, reply)) => drop(reply),
-                Some(Word::Used(..)) => {}
-                None => return,
+        let wanted = *inbox.wanted.borrow_and_update();
+        busy.send_replace(wanted);
+        if !wanted {
+            tokio::select! {
+                changed = inbox.wanted.changed() => if changed.is_err() {
+                    return;
+                },
+                // Who calls is told that it takes no part now.
+                word = inbox.words.recv() => drop(word),
             }
             continue;
         }
-        match take_part(&settings, &node, &mut words, &parts).await {
-            Over::Quit => begin = false,
+        match take_part(&settings, &node, &mut inbox, &parts).await {
+            Over::Quit => {}
             Over::Dropped => return,
             // Set aside: it comes back as a stranger.
             Over::Stale => {}
@@ -157,7 +170,7 @@
                 );
                 busy.send_replace(false);
                 // Nothing that is wrong with a disk goes away by being tried again.
-                while let Some(word) = words.recv().await {
+                while let Some(word) = inbox.words.recv().await {
                     drop(word);
                 }
                 return;
@@ -169,7 +182,7 @@
 /// Opens what another process may still use; none if told to quit meanwhile.
 async fn open<T>(
     settings: &Settings,
-    words: &mut mpsc::Receiver<Word>,
+    inbox: &mut Inbox,
     mut open: impl FnMut() -> Result<T, (bool, String)>,
 ) -> Result<T, Over> {
     let mut said = false;
@@ -185,11 +198,12 @@
         }
         tokio::select! {
             () = sleep(settings.links.retry) => {}
-            word = words.recv() => match word {
-                None => return Err(Over::Dropped),
-                Some(Word::Quit) => return Err(Over::Quit),
-                Some(Word::Begin | Word::Call(..) | Word::Used(..)) => {}
-            }
+            changed = inbox.wanted.changed() => match changed {
+                Ok(()) if *inbox.wanted.borrow_and_update() => {}
+                Ok(()) => return Err(Over::Quit),
+                Err(_) => return Err(Over::Dropped),
+            },
+            Some(word) = inbox.words.recv() => drop(word),
         }
     }
 }
@@ -197,13 +211,13 @@
 async fn take_part(
     settings: &Rc<Settings>,
     node: &str,
-    words: &mut mpsc::Receiver<Word>,
+    heard: &mut Inbox,
     parts: &mpsc::Sender<PartOf>,
 ) -> Over {
     let store = match &settings.dir {
         None => None,
         Some(dir) => {
-            let opened = open(settings, words, || {
+            let opened = open(settings, heard, || {
                 let fresh = NodeId(rand::random::<u64>().max(1));
                 let (bytes, sync) = (settings.links.segment_bytes, settings.sync);
                 Store::open(dir, (&settings.name, node), fresh, bytes, sync)
@@ -215,7 +229,7 @@
             }
         }
     };
-    let listener = open(settings, words, || {
+    let listener = open(settings, heard, || {
         links::listen(settings.listen).map_err(|error| {
             let in_use = error.kind() == io::ErrorKind::AddrInUse;
             (in_use, format!("fleet.listen {}: {error}", settings.listen))
@@ -252,7 +266,6 @@
     let mut part = Process::new(settings, node, saved, (links, records), parts.clone());
     let mut ticks = interval(settings.links.tick);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut dropped = false;
     while part.over.is_none() {
         tokio::select! {
             _ = ticks.tick() => part.handle(Input::Tick),
@@ -261,18 +274,17 @@
                 Told::Saved(number) => part.saved(number),
                 Told::Failed(why) => part.over = Some(Over::Failed(why)),
             },
-            word = words.recv(), if !dropped => match word {
-                None => {
-                    // The program ends without a word to anybody: the lease runs out.
-                    dropped = true;
-                    part.over = Some(Over::Dropped);
-                }
-                Some(Word::Begin) => {}
-                Some(Word::Quit) => part.handle(Input::Quit),
-                Some(Word::Used(budget, number, busy, denied)) => {
+            changed = heard.wanted.changed() => match changed {
+                Ok(()) if *heard.wanted.borrow_and_update() => {}
+                Ok(()) => part.handle(Input::Quit),
+                // The program ends without a word to anybody: the lease runs out.
+                Err(_) => part.over = Some(Over::Dropped),
+            },
+            Some(word) = heard.words.recv() => match word {
+                Word::Used(budget, number, busy, denied) => {
                     part.handle(Input::Used { budget, part: number, busy, denied });
                 }
-                Some(Word::Call(call, reply)) => part.call(call, reply),
+                Word::Call(call, reply) => part.call(call, reply),
             },
         }
     }
