--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -10,8 +10,10 @@
 use crate::limits::Limits;
 use crate::words::{Ask, Name, Number, SessionId, SharesOf, Told};
 
-/// Asks whose answers may still come.
-const OUT: usize = 16;
+/// Asks whose answers may still come, and words about lowered shares among them: a thousand budgets that shrink at
+/// once must not push the renewal out whose answer keeps the lease.
+const OUT: usize = 64;
+const LOWERS: usize = 16;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum What {
@@ -357,9 +359,13 @@
         let lately = self.out.iter().filter(|(_, at, _)| now < *at + patience);
         let out: Vec<What> = lately.map(|(.., what)| what.clone()).collect();
         let asked = |what: &What| out.contains(what);
+        let lowers = out
+            .iter()
+            .filter(|what| matches!(what, What::Lower(_)))
+            .count();
         let may_go = quits && self.holds.is_empty() && self.may_go(now, limits);
         let lowered = match &session {
-            Some(session) if !session.lapsed => {
+            Some(session) if !session.lapsed && lowers < LOWERS => {
                 let is_out = |budget: &Name| asked(&What::Lower(budget.clone()));
                 self.meters.lowered(now, limits, is_out)
             }
--- a/crates/fleet/tests/budgets.rs
+++ b/crates/fleet/tests/budgets.rs
@@ -407,8 +407,16 @@
     let mut world = World::with_budgets(9, 3, 40, Planted::Nothing, budgets);
     world.run(5000);
     world.pressed = 40;
+    let sessions = |world: &World| {
+        (0..43)
+            .map(|at| world.hosts[&name(at)].member.as_ref().unwrap().session())
+            .collect::<Vec<_>>()
+    };
+    let before = sessions(&world);
     world.press = (0..43).map(|at| (name(at), 0.01)).collect();
     world.run(3000);
+    // Every one of them kept its session all the while.
+    assert_eq!(sessions(&world), before);
     assert_eq!(world.wrong, None);
     assert!(
         world.taken > 200,
