--- a/crates/storm/examples/budgets.rs
+++ b/crates/storm/examples/budgets.rs
@@ -64,6 +64,11 @@
             "  {pattern:8} {even:24.3} {divided:9.3} {bound:9.3}   of the bound {:.2}",
             divided / bound
         );
+        let floorless = mean(&mut world(3, 5, WHOLE, 0), pattern, 5);
+        println!(
+            "  {pattern:8} without floors {floorless:19.3}   of the bound {:.2}",
+            floorless / bound
+        );
     }
     println!(
         "members: frames a second and member (idle, moving), CPU of a member's code, from pressure to half of the pool"
