--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -89,6 +89,10 @@
         name: Name,
         why: Why,
     },
+    /// The log has something that this program can't read: it votes, and settles nothing.
+    Halted {
+        why: String,
+    },
     /// An ask was dropped at a limit.
     Full {
         what: &'static str,
--- a/crates/fleet/src/member/leader.rs
+++ b/crates/fleet/src/member/leader.rs
@@ -190,6 +190,13 @@
         let Some(running) = self.running_mut() else {
             return;
         };
+        if running.halted.is_some() {
+            return self.reply(
+                from,
+                number,
+                Told::Later("this leader can't read its log".into()),
+            );
+        }
         let told = match ask {
             Ask::Renew {
                 session,
@@ -323,6 +330,13 @@
         let Some(running) = self.running_mut().filter(|running| running.node.leads()) else {
             return;
         };
+        if running.halted.is_some() {
+            // Another may be able to read it; until then sessions only run out where they are held.
+            if let Some(to) = running.node.closest() {
+                let _ = running.node.transfer(to);
+            }
+            return;
+        }
         let over = running.grantor.over(now);
         if !over.is_empty() {
             let avoid = running.grantor.silent(now, 2 * limits.renew);
--- a/crates/fleet/src/member/log.rs
+++ b/crates/fleet/src/member/log.rs
@@ -63,10 +63,8 @@
                 };
                 running.applied = snapshot.index;
                 match State::decode(&snapshot.data) {
-                    Ok(state) => running.state = state,
-                    Err(error) => {
-                        running.halted = Some(format!("a snapshot can't be read: {error}"))
-                    }
+                    Ok(state) => (running.state, running.halted) = (state, None),
+                    Err(error) => self.halt(format!("a snapshot can't be read: {error}")),
                 }
             }
             LogOutput::Leads(term) => {
@@ -116,11 +114,23 @@
         }
     }
 
+    /// This program is too old for the log: it keeps it and votes, and settles nothing by it.
+    fn halt(&mut self, why: String) {
+        if let Some(running) = self.running_mut() {
+            running.halted = Some(why.clone());
+            self.events.push(Event::Halted { why });
+        }
+    }
+
     pub(super) fn apply(&mut self, entry: violetwind_consensus::Entry) {
         let (now, limits) = (self.now, self.config.limits.clone());
         let Some(running) = self.running_mut() else {
             return;
         };
+        // Behind what it can't read nothing is as the others have it.
+        if running.halted.is_some() {
+            return;
+        }
         running.applied = entry.index;
         let leads = running.node.leads();
         if running.raising == Some(entry.index) {
@@ -167,7 +177,7 @@
                     effect
                 }
                 Err(error) => {
-                    running.halted = Some(format!("entry {} can't be read: {error}", entry.index));
+                    self.halt(format!("entry {} can't be read: {error}", entry.index));
                     Effect::Refused("it can't be read")
                 }
             },
--- a/crates/fleet/tests/cases.rs
+++ b/crates/fleet/tests/cases.rs
@@ -445,3 +445,66 @@
     };
     assert_eq!(tight.check(), Err(Unsound::MarginTooLong { most: 1000 }));
 }
+
+#[test]
+fn a_member_that_can_not_read_its_log_says_so_and_settles_nothing() {
+    use violetwind_consensus::{Disk, Member as Voter, Members, NodeId, Snapshot};
+    use violetwind_fleet::{Config, Event, Input, Member, Output, Saved};
+    let members = Members(
+        [(
+            NodeId(7),
+            Voter {
+                name: name(0),
+                votes: true,
+            },
+        )]
+        .into(),
+    );
+    let snapshot = Snapshot {
+        index: 5,
+        term: 1,
+        members,
+        data: vec![9, 1, 2],
+    };
+    let disk = Disk {
+        term: 1,
+        snapshot: Some(snapshot),
+        ..Disk::default()
+    };
+    let saved = Saved {
+        formed: true,
+        disk,
+        ..Saved::new(NodeId(7))
+    };
+    let config = Config {
+        node: name(0),
+        peers: [(name(0), true)].into(),
+        duties: vec!["export".into()],
+        budgets: Vec::new(),
+        outside: Default::default(),
+        limits: Limits::default(),
+    };
+    let mut member = Member::new(config, Some(saved), 1, 1000);
+    let mut halted = 0;
+    for now in (1000..12_000).step_by(5) {
+        let mut saves = Vec::new();
+        let outputs = member.handle(now, Input::Tick);
+        for output in outputs {
+            match output {
+                Output::Event(Event::Halted { why }) => {
+                    assert!(why.contains("version 9"), "{why}");
+                    halted += 1;
+                }
+                Output::Save(number, _) => saves.push(number),
+                _ => {}
+            }
+        }
+        saves
+            .into_iter()
+            .for_each(|number| drop(member.handle(now, Input::Saved(number))));
+    }
+    assert_eq!(
+        (halted, member.session(), member.holds("export", 12_000)),
+        (1, None, None)
+    );
+}
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -465,6 +465,13 @@
                 self.over = Some(Over::Stale);
             }
             Event::Ended { name, why } => info!(member = name, mono_ms, %why, "a session is over"),
+            Event::Halted { why } => {
+                error!(
+                    why,
+                    mono_ms,
+                    "this program is too old for the fleet's log: it votes and settles nothing"
+                );
+            }
             Event::Full { what } => warn!(what, mono_ms, "at a limit of the fleet"),
         }
     }
