--- a/crates/proxy/benches/duties.rs
+++ b/crates/proxy/benches/duties.rs
@@ -1,6 +1,10 @@
 //! What a fleet costs, on real processes on loopback: `cargo bench -p violetwind --bench duties`. Figures of one
 //! run on one machine; compare only within a run.
 
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt as _;
+use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use violetwind_standins::members::{Members, Spec, name};
@@ -68,16 +72,26 @@
     Duration::from_nanos(text.split(' ').next().unwrap().parse().unwrap())
 }
 
-/// Pairs of runs on and off, in turn.
+/// Pairs of runs on and off, in turn; set-ups and lines of each.
 const PAIRS: usize = 60;
+const OPENS: u32 = 150;
+const LINES: u32 = 3000;
 
 /// Processor time of the engine's thread for a set-up and for a relayed line there and back.
-fn ordinary(members: &Members, pid: u32, at: std::net::SocketAddr, id: &mut u64) -> (f64, f64) {
-    const OPENS: u32 = 150;
-    const LINES: u32 = 3000;
+fn ordinary(members: &Members, pid: u32, at: SocketAddr, id: &mut u64) -> (f64, f64) {
     let begun = ran(pid);
+    let mut pair = opened(members, at, id, OPENS);
+    let set_up = ran(pid);
+    relayed(&mut pair, LINES);
+    let ended = ran(pid);
+    let micros = |span: Duration, count: u32| span.as_secs_f64() * 1e6 / f64::from(count);
+    (micros(set_up - begun, OPENS), micros(ended - set_up, LINES))
+}
+
+/// Clients set up one after the other, each ended by the next; the last one and its server's end.
+fn opened(members: &Members, at: SocketAddr, id: &mut u64, count: u32) -> (Peer, Peer) {
     let mut pair = None;
-    for _ in 0..OPENS {
+    for _ in 0..count {
         let mut client = Peer::connect(at);
         *id += 1;
         client.say(&format!("OPEN {id:016x} 7f3a9c21e0b4d655 c=watch,d=2000"));
@@ -86,17 +100,85 @@
         assert_eq!(client.hear(), "UP 77aa");
         pair = Some((client, conn));
     }
-    let opened = ran(pid);
-    let (mut client, mut conn) = pair.unwrap();
-    for _ in 0..LINES {
+    pair.unwrap()
+}
+
+/// A line there and a line back, so many times.
+fn relayed((client, conn): &mut (Peer, Peer), count: u32) {
+    for _ in 0..count {
         client.say("line");
         assert_eq!(conn.hear(), "line");
         conn.say("line");
         assert_eq!(client.hear(), "line");
     }
-    let ended = ran(pid);
-    let micros = |span: Duration, count: u32| span.as_secs_f64() * 1e6 / f64::from(count);
-    (micros(opened - begun, OPENS), micros(ended - opened, LINES))
+}
+
+/// What the engine's thread has done between two dumps of callgrind's counts.
+struct Counted {
+    instructions: f64,
+    took: Duration,
+}
+
+/// Instructions of the engine's thread in user space while `work` runs: the counts are dumped, which zeroes them,
+/// before and after. The dump's own file is `out.PID.N-01`, its sum in the line `totals:`.
+fn counted(dir: &Path, pid: u32, dumps: &mut u32, work: impl FnOnce()) -> Counted {
+    let mut dump = || {
+        let told = Command::new("callgrind_control")
+            .arg(format!("--vgdb-prefix={}/vgdb", dir.display()))
+            .args(["--dump", &pid.to_string()])
+            .output()
+            .unwrap();
+        assert!(told.status.success(), "{told:?}");
+        *dumps += 1;
+        let file = dir.join(format!("out.{pid}.{dumps}-01"));
+        let text = std::fs::read_to_string(&file).expect("a dump");
+        let totals = text.lines().find_map(|line| line.strip_prefix("totals:"));
+        totals.unwrap().trim().parse::<f64>().unwrap()
+    };
+    dump();
+    let begun = Instant::now();
+    work();
+    let took = begun.elapsed();
+    Counted {
+        instructions: dump(),
+        took,
+    }
+}
+
+/// Instructions a set-up and a relayed line, with what the thread does by the clock taken off at its idle rate.
+fn instructions(members: &Members, dir: &Path, pid: u32, at: SocketAddr) -> [f64; 2] {
+    let (mut id, mut dumps) = (0x51c3_a9be_00d2_0000, 0);
+    let mut pair = opened(members, at, &mut id, OPENS);
+    relayed(&mut pair, LINES);
+    let idle = counted(dir, pid, &mut dumps, || {
+        std::thread::sleep(Duration::from_secs(5));
+    });
+    let a_second = idle.instructions / idle.took.as_secs_f64();
+    let set_ups = counted(dir, pid, &mut dumps, || {
+        pair = opened(members, at, &mut id, 10 * OPENS);
+    });
+    let lines = counted(dir, pid, &mut dumps, || relayed(&mut pair, 10 * LINES));
+    println!("process {pid}: idle, {a_second:.0} instructions a second");
+    [(set_ups, 10 * OPENS), (lines, 10 * LINES)].map(|(all, count)| {
+        let own = all.instructions - a_second * all.took.as_secs_f64();
+        own / f64::from(count)
+    })
+}
+
+/// The program as callgrind runs it, each thread counted by itself.
+fn under_callgrind(dir: &Path) -> PathBuf {
+    std::fs::create_dir_all(dir).unwrap();
+    let program = dir.join("counted");
+    let text = format!(
+        "#!/bin/sh\nexec valgrind -q --tool=callgrind --separate-threads=yes \
+         --callgrind-out-file={}/out.%p --vgdb-prefix={}/vgdb {} \"$@\"\n",
+        dir.display(),
+        dir.display(),
+        env!("CARGO_BIN_EXE_violetwind")
+    );
+    std::fs::write(&program, text).unwrap();
+    std::fs::set_permissions(&program, std::fs::Permissions::from_mode(0o755)).unwrap();
+    program
 }
 
 /// Bytes that the loopback interface has carried.
@@ -234,6 +316,37 @@
             );
         }
     }
+    if wants("instructions") {
+        // Counted, not timed: another process on the machine changes a time and not a count.
+        let dir = std::env::temp_dir().join(format!("violetwind-counted-{}", std::process::id()));
+        let mut wanted = spec(1, 0, true);
+        wanted.program = under_callgrind(&dir);
+        let mut runs = Vec::new();
+        for _ in 0..2 {
+            let members = Members::start(wanted.clone());
+            members.held("export", 0);
+            let plain = members.plain(0);
+            members.until("it serves", |members| {
+                let mut caller = Peer::new(std::net::TcpStream::connect(plain.management).ok()?);
+                caller.say("HEALTH");
+                let said = caller.try_hear().ok()?;
+                (said.starts_with("200 ") && members.view(0).is_some()).then_some(())
+            });
+            runs.push(instructions(&members, &dir, plain.child.id(), plain.addr));
+            let pid = members.pid(0).unwrap();
+            runs.push(instructions(&members, &dir, pid, members.addr(0)));
+        }
+        for (at, what) in ["set-up", "line"].into_iter().enumerate() {
+            let of = |run: usize| runs[run][at];
+            println!(
+                "a {what}, off, on, off, on: {:.0?}, on against off {:.4}, off against off {:.4}",
+                [of(0), of(1), of(2), of(3)],
+                (of(1) + of(3)) / (of(0) + of(2)),
+                of(2) / of(0)
+            );
+        }
+        std::fs::remove_dir_all(&dir).unwrap();
+    }
     if wants("sessions") {
         let members = Members::start(spec(3, 297, true));
         let leads = members.until("a leader", |members| {
