Moves, probes and turns at cold servers can be budgets of the whole fleet

Each proxy kept a fixed part of these alone: at a cold server one turn in as many as there are proxies, however idle the others. Three more matters reach the module as allowances. Units of 'cold' count at each cold server, and the part of the whole divides the module's own turns as well; drains are no moves; a request goes on without a figure where no probe is left.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -64,6 +64,13 @@
 pub enum Matter {
     /// Attempts beyond a request's first, within any span of the allowance's length.
     Further,
+    /// Connections moved off servers for their load, within any such span. Drains are none of them.
+    Moves,
+    /// Probes, within any such span.
+    Probes,
+    /// Attempts at any one cold server, within any such span; and of what all balancers may give it as it warms up,
+    /// this one's part of the whole.
+    Cold,
     /// Connections at once, attempts that are out among them: of a class, or of a tenant.
     Class(usize),
     Tenant(usize),
@@ -75,8 +82,10 @@
     pub units: u64,
     pub until: Secs,
     pub after: u64,
-    /// Of [`Matter::Further`].
+    /// Of matters that are counted within a span.
     pub span: Secs,
+    /// What all balancers have together.
+    pub whole: u64,
 }
 
 /// What a balancer uses of a part that it has.
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -190,12 +190,10 @@
             server.entry = Some(entry);
             if fresh {
                 // Proxies hear of a cold server together: their first connections are spread out.
-                let (now, turn) = (
-                    self.state.now,
-                    self.rng.random_range(0.0..self.set.fleet_size as f64),
-                );
+                let (now, phase) = (self.state.now, self.rng.random_range(0.0..1.0));
                 self.state.server(id, |server| {
-                    (server.listed_at, server.turn, server.cold_until) = (now, turn, now);
+                    (server.listed_at, server.cold_until) = (now, now);
+                    (server.turned, server.phase) = (0.0, phase);
                 });
             }
             self.start_probing(id, out);
@@ -267,8 +265,11 @@
     /// Probes a server, and again after such a part of the present interval.
     fn probe(&mut self, id: ServerId, part: Range<f64>, out: &mut Vec<Action>) {
         let every = self.probe_interval(self.state.probing).min(PROBE_RARELY);
-        out.push(Action::Probe(id));
-        self.state.server(id, |server| server.in_round = true);
+        if self.state.has_part(Matter::Probes, 0) {
+            self.state.spend(Matter::Probes, None);
+            self.state.server(id, |server| server.in_round = true);
+            out.push(Action::Probe(id));
+        }
         let again = every * self.rng.random_range(part);
         out.push(Action::Timer(again, TIMER_PROBE + u64::from(id)));
     }
@@ -415,7 +416,7 @@
         }
         let Some(to) = self.choose(id) else {
             // A restarted or wholly cold fleet: a server may turn up soon. A full one is no reason.
-            let open = self.state.servers.values().any(|s| self.open(s));
+            let open = self.state.servers.iter().any(|(id, s)| self.open(*id, s));
             if open || attempts > 0 || left <= aim {
                 return self.give_up(id, out);
             }
@@ -426,14 +427,13 @@
             // Balancers that never used a server would all take it for a usual one, full or not.
             if !server.asked_since(now - REPORT_AGE) {
                 out.push(Action::Probe(to));
+                self.state.spend(Matter::Probes, None);
                 self.state.ask(to, id);
             }
             return self.wait(id, Some(to), out);
         }
-        let (turn, gap) = (
-            self.turns(server, now) + self.set.fleet_size as f64,
-            self.set.fall_for / 4.0,
-        );
+        let (turned, gap) = (self.turns(server, now), self.set.fall_for / 4.0);
+        let cold = server.cold_rest(now, &self.set) > 0.0;
         let conn = &self.state.conns[&id];
         let load = conn.load + self.group_load(conn, server);
         if attempts > 0 {
@@ -442,8 +442,11 @@
         self.state.join(id, to, Phase::Out(to));
         self.state.server(to, |server| {
             server.pend(now, load);
-            (server.turn, server.cold_until) = (turn, now + gap);
+            (server.turned, server.phase, server.cold_until) = (turned, 1.0, now + gap);
         });
+        if cold {
+            self.state.spend(Matter::Cold, Some(to));
+        }
         self.start_probing(to, out);
         out.push(Action::Send(id, to, left.min(aim.max(left / 2.0))));
     }
@@ -552,6 +555,9 @@
     fn choose(&mut self, id: RequestId) -> Option<ServerId> {
         let key = self.state.order_for(id, &self.set);
         let ranked = self.rank(id, key);
+        if self.kept_from_cold(key) {
+            self.state.deny(Matter::Cold);
+        }
         // Ties are broken at random.
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
         let ties: Vec<ServerId> = ranked.iter().filter(|r| r.0 <= best).map(|r| r.1).collect();
@@ -565,7 +571,7 @@
         let (limit, may_ask, crowd) = (self.limit(conn), self.may_ask(conn), self.crowd());
         let servers = self.state.first_of(key, CANDIDATES);
         let servers = servers.map(|(place, id)| (place, id, &self.state.servers[&id]));
-        let open: Vec<_> = servers.filter(|(_, _, s)| self.open(s)).collect();
+        let open: Vec<_> = servers.filter(|(_, id, s)| self.open(*id, s)).collect();
         // Outlier ejection: silent and failing servers get nothing while there are others.
         let sound = open.iter().any(|(_, _, server)| !self.ejected(server));
         // Room before rank, or a group's full server hides an idle one; short room bars further shares.
@@ -588,18 +594,32 @@
         ranked
     }
 
-    fn open(&self, server: &Server) -> bool {
+    fn open(&self, id: ServerId, server: &Server) -> bool {
         // A turn that lies beyond the warm-up falls away with it: in a large fleet most do.
-        let (now, fleet) = (self.state.now, self.set.fleet_size as f64);
+        let now = self.state.now;
         if !server.up() || server.cold_rest(now, &self.set) == 0.0 {
             return server.up();
         }
+        if !self.state.room_at(id) {
+            return false;
+        }
         // One that was not used for long is missed, or all together would be a blow.
-        let missed = self.turns(server, now - TURN_KEPT * self.set.fall_for) - server.turn;
-        let turn = server.turn + fleet * (missed / fleet).ceil().max(0.0);
+        let each = self.state.turns_each(&self.set);
+        let turn = server.turned + each * server.phase;
+        let missed = self.turns(server, now - TURN_KEPT * self.set.fall_for) - turn;
+        let turn = turn + each * (missed / each).ceil().max(0.0);
         now >= server.cold_until && self.turns(server, now) >= turn
     }
 
+    /// Whether this balancer's part of a whole keeps it from a cold server.
+    fn kept_from_cold(&self, key: u64) -> bool {
+        let cold =
+            |server: &Server| server.up() && server.cold_rest(self.state.now, &self.set) > 0.0;
+        let first = self.state.first_of(key, CANDIDATES);
+        let mut servers = first.map(|(_, id)| (id, &self.state.servers[&id]));
+        self.state.has_whole(Matter::Cold) && servers.any(|(id, s)| cold(s) && !self.open(id, s))
+    }
+
     fn ejected(&self, server: &Server) -> bool {
         server.suspect || server.errors.get(self.state.now, FORGIVE) > EJECT
     }
@@ -619,7 +639,8 @@
     fn may_ask(&self, conn: &Conn) -> bool {
         let waited = self.state.now - (conn.deadline - conn.request.patience);
         let most = ASK_PART * self.set.classes[conn.request.class].aim;
-        self.set.may_probe && waited <= most && conn.asks < ASKS
+        let probes = self.set.may_probe && self.state.room(Matter::Probes, 0);
+        probes && waited <= most && conn.asks < ASKS
     }
 
     /// How many balancers place where this one does before reports show it: those of its zone, and
@@ -688,8 +709,9 @@
         let (conn, crowd) = (&self.state.conns[&first], self.crowd());
         let fits = |s: &Server| self.load_after(conn, s, crowd) < limit;
         let servers = self.state.first_of(key, CANDIDATES);
-        let mut servers = servers.map(|(_, id)| &self.state.servers[&id]);
-        let room = servers.any(|s| self.open(s) && !s.suspect && !s.doubted() && fits(s));
+        let mut servers = servers.map(|(_, id)| (id, &self.state.servers[&id]));
+        let room = servers.any(|(id, s)| self.open(id, s) && !s.suspect && !s.doubted() && fits(s));
+        drop(servers);
         let many = by_load && told > DROWNING;
         if !room && !many {
             return;
@@ -700,7 +722,8 @@
         let mut part = HASTE * own_part * (load_now - limit);
         for id in own.into_iter().take(most) {
             let load = self.state.conns[&id].load;
-            if self.rng.random::<f64>() * load < part {
+            if self.rng.random::<f64>() * load < part && self.state.has_part(Matter::Moves, 0) {
+                self.state.spend(Matter::Moves, None);
                 out.push(Action::Move(id));
             }
             part -= load;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -58,9 +58,11 @@
     pub errors: Fading,
     /// When an own connection last met an answer later than is wanted, until one comes in time.
     pub slow_at: Option<Secs>,
-    /// A cold server may get its next connection not before this, and after so many of all balancers.
+    /// A cold server may get its next connection not before this, and so much of the time between two turns after
+    /// so many of all balancers.
     pub cold_until: Secs,
-    pub turn: f64,
+    pub turned: f64,
+    pub phase: f64,
     /// When its present process was first told of.
     pub listed_at: Secs,
     pub probing: bool,
@@ -185,10 +187,10 @@
     /// When requests came, and when attempts beyond a request's first were made, as far as a budget asks.
     came: VecDeque<Secs>,
     further: VecDeque<Secs>,
-    /// Parts of what all balancers share, how often each was too small, and the attempts that the one for
-    /// further attempts counts.
+    /// Parts of what all balancers share, how often each was too small, and when those that count within a span
+    /// were used; of cold servers, each server's.
     parts: BTreeMap<Matter, (Allowance, u64)>,
-    rationed: VecDeque<Secs>,
+    rationed: BTreeMap<(Matter, Option<ServerId>), VecDeque<Secs>>,
     /// When the balancer came to life.
     pub started: Option<Secs>,
     /// When the first request came, if nothing was held then.
@@ -221,7 +223,7 @@
             came: VecDeque::new(),
             further: VecDeque::new(),
             parts: BTreeMap::new(),
-            rationed: VecDeque::new(),
+            rationed: BTreeMap::new(),
             started: None,
             began_empty: None,
             classes: vec![0; set.classes.len()],
@@ -395,9 +397,7 @@
         if set.budget.is_some() {
             self.further.push_back(self.now);
         }
-        if self.parts.contains_key(&Matter::Further) {
-            self.rationed.push_back(self.now);
-        }
+        self.spend(Matter::Further, None);
     }
 
     pub fn allow(&mut self, matter: Matter, allowance: Allowance) {
@@ -405,39 +405,96 @@
         part.0 = allowance;
     }
 
+    /// One is used of a part that counts within a span, if there is such a part.
+    pub fn spend(&mut self, matter: Matter, server: Option<ServerId>) {
+        let Some((part, _)) = self.parts.get(&matter) else {
+            return;
+        };
+        let since = self.now - part.span - SLACK;
+        let own = self.rationed.entry((matter, server)).or_default();
+        own.push_back(self.now);
+        while own.front().is_some_and(|at| *at < since) {
+            own.pop_front();
+        }
+        // A server that gets nothing more is not cold for ever.
+        self.rationed
+            .retain(|(of, _), used| *of != matter || used.back().is_some_and(|at| *at >= since));
+    }
+
+    /// What was used of a part that counts within a span; of cold servers at one, or where most was.
+    fn spent(&self, matter: Matter, server: Option<ServerId>) -> u64 {
+        let span = self.parts.get(&matter).map_or(0.0, |(part, _)| part.span);
+        let since = self.now - span - SLACK;
+        let used = |used: &VecDeque<Secs>| used.len() - used.partition_point(|at| *at < since);
+        let first = server.unwrap_or(ServerId::MIN);
+        let last = server.unwrap_or(ServerId::MAX);
+        let whole = server.is_none().then(|| self.rationed.get(&(matter, None)));
+        let each = self
+            .rationed
+            .range((matter, Some(first))..=(matter, Some(last)))
+            .map(|(_, times)| times);
+        each.chain(whole.flatten()).map(used).max().unwrap_or(0) as u64
+    }
+
     /// What is in use of a part.
-    fn busy(&mut self, matter: Matter) -> u64 {
+    fn busy(&self, matter: Matter) -> u64 {
         match matter {
-            Matter::Further => {
-                let span = self.parts.get(&matter).map_or(0.0, |(part, _)| part.span);
-                let since = self.now - span;
-                while self.rationed.front().is_some_and(|at| *at < since - SLACK) {
-                    self.rationed.pop_front();
-                }
-                self.rationed.len() as u64
+            Matter::Further | Matter::Moves | Matter::Probes | Matter::Cold => {
+                self.spent(matter, None)
             }
             Matter::Class(class) => self.classes.get(class).map_or(0, |held| *held as u64),
             Matter::Tenant(tenant) => self.tenants.get(tenant).map_or(0, |held| *held as u64),
         }
     }
 
+    /// The units of a part now, and of the whole; none where no part was told.
+    fn part(&self, matter: Matter) -> Option<(u64, u64)> {
+        let (part, _) = self.parts.get(&matter)?;
+        let leased = self.now < part.until;
+        Some((if leased { part.units } else { part.after }, part.whole))
+    }
+
+    pub fn has_whole(&self, matter: Matter) -> bool {
+        self.parts.contains_key(&matter)
+    }
+
     /// Whether the part has room for one more; `own` of what is in use is this one's already.
+    pub fn room(&self, matter: Matter, own: u64) -> bool {
+        let part = self.part(matter);
+        part.is_none_or(|(units, _)| self.busy(matter).saturating_sub(own) < units)
+    }
+
+    /// Likewise, and where it has none that is counted.
     pub fn has_part(&mut self, matter: Matter, own: u64) -> bool {
-        let Some((part, _)) = self.parts.get(&matter) else {
-            return true;
-        };
-        let units = if self.now < part.until {
-            part.units
-        } else {
-            part.after
-        };
-        let room = self.busy(matter).saturating_sub(own) < units;
-        if !room && let Some((_, denied)) = self.parts.get_mut(&matter) {
-            *denied += 1;
+        let room = self.room(matter, own);
+        if !room {
+            self.deny(matter);
         }
         room
     }
 
+    /// A larger part would have been used.
+    pub fn deny(&mut self, matter: Matter) {
+        if let Some((_, denied)) = self.parts.get_mut(&matter) {
+            *denied += 1;
+        }
+    }
+
+    /// Whether the part has room for one more at a cold server.
+    pub fn room_at(&self, server: ServerId) -> bool {
+        let part = self.part(Matter::Cold);
+        part.is_none_or(|(units, _)| self.spent(Matter::Cold, Some(server)) < units)
+    }
+
+    /// So many connections all balancers give a cold server for each of this one's: as many as there are, or by its
+    /// part of the whole.
+    pub fn turns_each(&self, set: &Settings) -> f64 {
+        match self.part(Matter::Cold) {
+            Some((units, whole)) => (whole as f64 / units.max(1) as f64).max(1.0),
+            None => set.fleet_size as f64,
+        }
+    }
+
     pub fn uses(&mut self) -> Vec<Use> {
         let denied = |(matter, (_, denied)): (&Matter, &(Allowance, u64))| (*matter, *denied);
         let matters: Vec<(Matter, u64)> = self.parts.iter().map(denied).collect();
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -293,6 +293,7 @@
         until,
         after,
         span: 5.0,
+        whole: 10,
     }
 }
 
@@ -379,3 +380,134 @@
     }
     assert!(further.len() > 10, "{}", further.len());
 }
+
+/// The most of `times` within any span of 5 s.
+fn fullest(times: &[Secs]) -> usize {
+    let within = |from: Secs| {
+        times
+            .iter()
+            .filter(move |at| (from..from + 5.0).contains(*at))
+    };
+    times
+        .iter()
+        .map(|from| within(*from).count())
+        .max()
+        .unwrap_or(0)
+}
+
+/// A cold server and warm ones, many requests: when this balancer sent something to the cold one.
+fn sent_cold(cold_part: Option<Allowance>) -> Vec<Secs> {
+    let mut set = settings();
+    set.fleet_size = 10;
+    set.cold_for = 60.0;
+    let cold = Entry {
+        born: Some(100.0),
+        ..entry(9)
+    };
+    let mut bench = Bench::new(set, (1..4).map(entry).chain([cold]).collect(), 5);
+    if let Some(part) = cold_part {
+        bench.on(Event::Allowance(Matter::Cold, part));
+    }
+    let mut sent = Vec::new();
+    for id in 0..600 {
+        bench.now += 0.1;
+        for server in 1..4 {
+            bench.report(server, 0.8);
+        }
+        bench.report(9, 0.0);
+        if let Some(server) = bench.place(id) {
+            sent.extend((server == 9).then_some(bench.now));
+            bench.on(Event::Gone(id));
+        }
+    }
+    sent
+}
+
+/// Of what all may give a cold server as it warms up, as much as the part of the whole says, and never more than the part
+/// within any span.
+#[test]
+fn a_part_of_turns_at_cold_servers_is_used_up_and_never_passed() {
+    let alone = sent_cold(None);
+    let tenth = sent_cold(Some(part(1, 1e9, 0)));
+    let half = sent_cold(Some(part(5, 1e9, 0)));
+    let none = sent_cold(Some(part(0, 1e9, 0)));
+    assert!(alone.len() > 2, "{alone:?}");
+    assert_eq!(fullest(&tenth), 1);
+    assert!(half.len() >= 2 * alone.len(), "{alone:?} {half:?}");
+    assert!(fullest(&half) > 1 && fullest(&half) <= 5, "{half:?}");
+    assert_eq!(none, Vec::<Secs>::new());
+}
+
+#[test]
+fn a_part_of_probes_is_kept_and_requests_go_on_without() {
+    let probes = |limit: Option<u64>| {
+        let mut bench = Bench::new(settings(), (1..9).map(entry).collect(), 5);
+        if let Some(units) = limit {
+            bench.on(Event::Allowance(Matter::Probes, part(units, 1e9, 0)));
+        }
+        let mut probes = Vec::new();
+        // The first round was answered with the list.
+        let mut timers: Vec<(Secs, u64)> = (1..9)
+            .map(|server| (bench.now, (1 << 32) + server))
+            .collect();
+        for id in 0..300 {
+            bench.now += 0.1;
+            let due: Vec<u64> = timers
+                .extract_if(.., |(at, _)| *at <= bench.now)
+                .map(|t| t.1)
+                .collect();
+            let mut actions = bench.on_alone(Event::Request(request(id)));
+            due.iter()
+                .for_each(|token| actions.extend(bench.on_alone(Event::Timer(*token))));
+            for action in actions {
+                match action {
+                    Action::Probe(server) => {
+                        probes.push(bench.now);
+                        let more = bench.on_alone(Event::Probed(server, Outcome::Ok, load(0.1)));
+                        let timer = |action: &Action| match action {
+                            Action::Timer(after, token) => Some((bench.now + after, *token)),
+                            _ => None,
+                        };
+                        timers.extend(more.iter().filter_map(timer));
+                    }
+                    Action::Timer(after, token) => timers.push((bench.now + after, token)),
+                    Action::Refuse(..) | Action::Fail(_) => panic!("turned away at {}", bench.now),
+                    _ => {}
+                }
+            }
+        }
+        (probes, bench.balancer.uses(bench.now))
+    };
+    let (free, _) = probes(None);
+    let (kept, uses) = probes(Some(6));
+    assert!(fullest(&free) > 20, "{}", fullest(&free));
+    assert_eq!(fullest(&kept), 6);
+    assert!(uses[0].denied > 0 && uses[0].busy <= 6, "{uses:?}");
+}
+
+#[test]
+fn a_part_of_moves_is_kept_and_drains_are_none_of_them() {
+    let moves = |limit: Option<u64>| {
+        let mut bench = Bench::new(settings(), (1..3).map(entry).collect(), 5);
+        if let Some(units) = limit {
+            bench.on(Event::Allowance(Matter::Moves, part(units, 1e9, 0)));
+        }
+        for id in 0..40 {
+            let server = bench.place(id).expect("room");
+            bench.on(Event::Begun(id, server));
+        }
+        let mut times = Vec::new();
+        for _ in 0..20 {
+            bench.now += 0.5;
+            bench.report(2, 0.1);
+            let actions = bench.probed(1, load(1.5));
+            times.extend(moved(&actions).iter().map(|_| bench.now));
+        }
+        times
+    };
+    let free = moves(None);
+    let kept = moves(Some(3));
+    assert!(fullest(&free) > 6, "{free:?}");
+    assert!(kept.len() > 3 && fullest(&kept) == 3, "{kept:?}");
+    assert!(moves(Some(0)).is_empty());
+}
--- a/crates/conf/src/read.rs
+++ b/crates/conf/src/read.rs
@@ -231,14 +231,15 @@
     }
 
     /// One of some words.
-    pub fn choice<T: Copy>(&self, name: &str, words: &[(&str, T)], default: T) -> T {
+    pub fn choice<T: Clone>(&self, name: &str, words: &[(&str, T)], default: T) -> T {
         let names: Vec<String> = words
             .iter()
             .map(|(word, _)| format!("\"{word}\""))
             .collect();
         let expected = names.join(" or ");
         let value = self.parsed(name, &expected, |text| {
-            Some(words.iter().find(|(word, _)| *word == text)?.1)
+            let (_, of) = words.iter().find(|(word, _)| *word == text)?;
+            Some(of.clone())
         });
         value.unwrap_or(default)
     }
--- a/crates/proxy/src/fleet/allowances.rs
+++ b/crates/proxy/src/fleet/allowances.rs
@@ -124,6 +124,9 @@
         for counted in self.counted.values_mut() {
             let matter = match &counted.of {
                 Of::Retries => Some(Matter::Further),
+                Of::Moves => Some(Matter::Moves),
+                Of::Probes => Some(Matter::Probes),
+                Of::Cold => Some(Matter::Cold),
                 Of::Class(name) => config.names.class(name).map(Matter::Class),
                 Of::Tenant(name) => config.names.tenant(Some(name)).map(Matter::Tenant),
             };
@@ -140,6 +143,7 @@
                 until: 0.0,
                 after: part.after,
                 span: part.span as f64 / 1000.0,
+                whole: counted.def.whole,
             };
             let same = counted
                 .said
--- a/crates/proxy/src/fleet/settings.rs
+++ b/crates/proxy/src/fleet/settings.rs
@@ -41,6 +41,11 @@
 pub enum Of {
     /// Attempts beyond a request's first.
     Retries,
+    /// Connections that the module moves off servers for their load.
+    Moves,
+    Probes,
+    /// Attempts at any one cold server.
+    Cold,
     /// Connections at once, of a class or a tenant of that name.
     Class(Name),
     Tenant(Name),
@@ -253,6 +258,14 @@
     }
 }
 
+/// What `of` can say.
+#[derive(Clone)]
+enum Wanted {
+    Callers,
+    Rate(Of),
+    Held(fn(Name) -> Of),
+}
+
 /// Budgets of the whole fleet. `members` is how many members there may be at most, whose floors are set aside.
 fn budgets(section: &Section<'_>, peers: u64) -> (Vec<Def>, BTreeMap<Name, Of>) {
     let ms = Duration::from_millis;
@@ -277,22 +290,23 @@
             members,
             version: section.int("version", 1..=u64::from(u32::MAX), 1),
         };
-        let words = [("callers", 0), ("retries", 1), ("class", 2), ("tenant", 3)];
-        let of = section.choice("of", &words, 0);
+        let words = [
+            ("callers", Wanted::Callers),
+            ("retries", Wanted::Rate(Of::Retries)),
+            ("moves", Wanted::Rate(Of::Moves)),
+            ("probes", Wanted::Rate(Of::Probes)),
+            ("cold", Wanted::Rate(Of::Cold)),
+            ("class", Wanted::Held(Of::Class)),
+            ("tenant", Wanted::Held(Of::Tenant)),
+        ];
+        let of = section.choice("of", &words, Wanted::Callers);
         section.finish();
         let named = def.name.split_once(':').map(|(_, name)| name.to_string());
         let (kind, of) = match (of, named) {
-            (0, _) => (def.kind, None),
-            (1, _) => (Kind::Rate, Some(Of::Retries)),
-            (of, Some(name)) => {
-                let of = if of == 2 {
-                    Of::Class(name)
-                } else {
-                    Of::Tenant(name)
-                };
-                (Kind::Held, Some(of))
-            }
-            (_, None) => {
+            (Wanted::Callers, _) => (def.kind, None),
+            (Wanted::Rate(of), _) => (Kind::Rate, Some(of)),
+            (Wanted::Held(of), Some(name)) => (Kind::Held, Some(of(name))),
+            (Wanted::Held(_), None) => {
                 section.wrong(
                     "name",
                     "expected what it is of behind a `:`, such as \"tenant:clinica-sur\"",
@@ -303,7 +317,7 @@
         if kind != def.kind {
             section.wrong(
                 "kind",
-                "retries are a rate; connections of a class or a tenant are held",
+                "retries, moves, probes and cold servers are rates; connections of a class or a tenant are held",
             );
         }
         if of.is_some() && counted_by.values().any(|known| Some(known) == of.as_ref()) {
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -421,7 +421,10 @@
 
 #[cfg(test)]
 mod tests {
+    use std::collections::BTreeMap;
+
     use super::*;
+    use crate::fleet::settings::Of;
 
     fn read(text: &str) -> Result<Operator, Vec<String>> {
         let tree = Tree::parse("f.toml", text).unwrap();
@@ -548,6 +551,21 @@
 votes = true"#;
         let fleet = read(text).unwrap().fleet.unwrap();
         assert_eq!(fleet.warnings.len(), 1, "two voters stand no loss");
+        let of = |of: &str, kind: &str| {
+            let budget = format!(
+                "[[fleet.budget]]\nname = \"b\"\nwhole = 9\nof = \"{of}\"\nkind = \"{kind}\""
+            );
+            read(&format!("{text}\n{budget}")).map(|operator| operator.fleet.unwrap().counted_by)
+        };
+        let counted = |of_what| Ok(BTreeMap::from([("b".to_string(), of_what)]));
+        assert_eq!(of("cold", "rate"), counted(Of::Cold));
+        assert_eq!(of("probes", "rate"), counted(Of::Probes));
+        assert_eq!(of("moves", "rate"), counted(Of::Moves));
+        let fault = of("moves", "held").unwrap_err();
+        assert!(
+            fault[0].starts_with("f.toml:16: `fleet.budget.0.kind`: retries, moves"),
+            "{fault:?}"
+        );
         let fault = fleet.fits("c").unwrap_err();
         assert!(fault.contains("own name"), "{fault}");
         let fault = fleet.fits("a").unwrap_err();
--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -408,3 +408,79 @@
         "{budget}"
     );
 }
+
+/// A cold server and its probes, counted at the server, while clients press all three proxies at once.
+#[test]
+fn a_cold_server_gets_no_more_than_the_whole_from_three_proxies() {
+    const TURNS: usize = 4;
+    const PROBES: usize = 6;
+    let mut spec = spec(3, 0);
+    spec.lines = format!(
+        "[[fleet.budget]]\nname = \"cold\"\nof = \"cold\"\nkind = \"rate\"\nwhole = {TURNS}\nwindow = \"1s\"\n\
+         [[fleet.budget]]\nname = \"probes\"\nof = \"probes\"\nkind = \"rate\"\nwhole = {PROBES}\nfloor = 1\nwindow = \"1s\"\n"
+    );
+    let members = Members::start(spec);
+    whole(&members);
+    members.restart_server();
+    let over = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for number in 0..9 {
+        let (at, over) = (members.addr(number % 3), over.clone());
+        clients.push(thread::spawn(move || {
+            let mut id = 0x51c3_a9be_00d2_0000 + ((number as u64) << 20);
+            let mut up = Vec::new();
+            while !over.load(Ordering::Relaxed) {
+                let mut client = Peer::connect(at);
+                id += 1;
+                client.say(&format!("OPEN {id:016x} 7f3a9c21e0b4d655 c=watch,d=500"));
+                if client.hear().starts_with("UP") {
+                    up.push(client);
+                }
+            }
+        }));
+    }
+    let (begun, mut turns, mut conns) = (Instant::now(), Vec::new(), Vec::new());
+    while begun.elapsed() < Duration::from_millis(3500) {
+        let until = Instant::now() + Duration::from_millis(20);
+        if let Some((_, mut conn)) = members.server.opened_or(|| Instant::now() > until) {
+            turns.push(Instant::now());
+            conn.say("UP 77aa");
+            conns.push(conn);
+        }
+    }
+    over.store(true, Ordering::Relaxed);
+    drop(conns);
+    clients
+        .into_iter()
+        .for_each(|client| client.join().unwrap());
+    let within = |times: &[Instant]| {
+        let of = |from: Instant| {
+            times
+                .iter()
+                .filter(|at| (from..from + WINDOW).contains(*at))
+                .count()
+        };
+        times.iter().map(|from| of(*from)).max().unwrap_or(0)
+    };
+    let probes = members.server.probed();
+    println!(
+        "{} turns, {} of {TURNS} in a window; {} probes, {} of {PROBES} in a window",
+        turns.len(),
+        within(&turns),
+        probes.len(),
+        within(&probes)
+    );
+    assert!(
+        within(&turns) <= TURNS && within(&probes) <= PROBES,
+        "{}",
+        members.log()
+    );
+    assert!(
+        turns.len() >= 4 && within(&probes) >= 3,
+        "{}",
+        members.log()
+    );
+    // The count finds one too many.
+    let now = Instant::now();
+    assert!(within(&[now; TURNS + 1]) > TURNS);
+}
--- a/crates/standins/src/members.rs
+++ b/crates/standins/src/members.rs
@@ -102,6 +102,14 @@
         members
     }
 
+    /// The server's process is listed as started just now: it is cold.
+    pub fn restart_server(&self) {
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let mut row = self.server.target("ready");
+        row["boot_ms"] = json!(now.expect("after 1970").as_millis() as u64);
+        self.discovery.tell(row);
+    }
+
     pub fn count(&self) -> usize {
         self.processes.len()
     }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -14,6 +14,7 @@
 #[derive(Debug, Default)]
 struct Probes {
     state: Mutex<(Option<String>, bool)>,
+    came: Mutex<Vec<Instant>>,
     changed: Condvar,
 }
 
@@ -64,6 +65,7 @@
                 let _ = opens.send((line, peer));
                 return;
             }
+            probes.came.lock().unwrap().push(Instant::now());
             let answer = probes.state.lock().unwrap().0.clone();
             if let Some(answer) = answer {
                 peer.say(&answer);
@@ -92,6 +94,11 @@
         }
     }
 
+    /// When probes came.
+    pub fn probed(&self) -> Vec<Instant> {
+        self.probes.came.lock().unwrap().clone()
+    }
+
     pub fn nothing_opened(&self) -> bool {
         self.opened.try_recv().is_err()
     }
