--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -422,6 +422,14 @@
     let members = Members::start(spec);
     whole(&members);
     members.restart_server();
+    for at in 0..3 {
+        // Until it has heard of it a proxy takes the server for warm.
+        members.until("the list has come", |members| {
+            members
+                .logged(at, "\"message\":\"list\",\"version\":2")
+                .then_some(())
+        });
+    }
     let over = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
     for number in 0..9 {
