--- /dev/null
+++ b/crates/lab/src/model/budgets.rs
@@ -0,0 +1,217 @@
+//! Budgets of the whole fleet in the model: the division, meters and shares that proxies use, and in place of the log
+//! and its links an exchange with all of them every so often. What one exchange asks for, the next has.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use violetwind_balancer::api::{Allowance, Matter, Secs, Use};
+use violetwind_fleet::budget::{Def, Divider, Kind, Meters, Part, Shares};
+use violetwind_fleet::{Limits, Name, Number, SessionId};
+
+use crate::scenario::{Budget, Scenario};
+
+/// A lease that does not end: nobody is cut off from this fleet.
+const FOR_EVER: u64 = 1 << 40;
+
+struct Member {
+    session: SessionId,
+    process: Number,
+    meters: Meters,
+    /// The number of the word that is in force, by budget.
+    words: BTreeMap<Name, Number>,
+    /// The shares that it knows, and how often they have changed.
+    version: Number,
+    known: Vec<(Name, violetwind_fleet::budget::Share)>,
+}
+
+pub struct Budgets {
+    divided: Vec<(Budget, Def)>,
+    limits: Limits,
+    shares: BTreeMap<Name, Shares>,
+    divider: Divider,
+    members: Vec<Member>,
+    next: Number,
+    /// When what sessions left behind may be given again.
+    due: Vec<(u64, Name, Number)>,
+}
+
+/// What a proxy is told, by its number.
+pub type Told = (usize, Matter, Allowance);
+
+fn ms(secs: Secs) -> u64 {
+    (secs * 1e3) as u64
+}
+
+impl Budgets {
+    pub fn new(set: &Scenario) -> Self {
+        let members = set.proxies as u64;
+        let def = |budget: &Budget| Def {
+            name: format!("{:?}", budget.of),
+            kind: Kind::Rate,
+            whole: budget.whole,
+            floor: budget.floor,
+            window: ms(budget.window),
+            members,
+            version: 1,
+        };
+        let divided = set.budgets.iter().filter(|budget| budget.divided);
+        let divided: Vec<_> = divided
+            .map(|budget| (budget.clone(), def(budget)))
+            .collect();
+        let shares = divided
+            .iter()
+            .map(|(_, def)| (def.name.clone(), Shares::new(def.clone())));
+        let mut budgets = Self {
+            shares: shares.collect(),
+            divided,
+            limits: Limits::default(),
+            divider: Divider::default(),
+            members: Vec::new(),
+            next: 0,
+            due: Vec::new(),
+        };
+        for _ in 0..set.proxies {
+            let member = budgets.member(0.0);
+            budgets.members.push(member);
+        }
+        budgets
+    }
+
+    /// What proxies have from their start, before any exchange: fixed parts that sum to the whole, or floors.
+    pub fn first(&self, set: &Scenario, proxy: usize) -> Vec<(Matter, Allowance)> {
+        let fixed = |budget: &Budget| {
+            let (whole, proxies) = (budget.whole, set.proxies as u64);
+            let units = match budget.divided {
+                true => 0,
+                false => whole / proxies + u64::from((proxy as u64) < whole % proxies),
+            };
+            let allowance = Allowance {
+                units,
+                until: f64::INFINITY,
+                after: units,
+                span: budget.window,
+                whole,
+            };
+            (budget.of, allowance)
+        };
+        // Cold servers have the module's own division where no other is asked for.
+        let counted = set
+            .budgets
+            .iter()
+            .filter(|b| b.divided || b.of != Matter::Cold);
+        counted.map(fixed).collect()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.divided.is_empty()
+    }
+
+    fn member(&mut self, now: Secs) -> Member {
+        self.next += 1;
+        let defs: Vec<Def> = self.divided.iter().map(|(_, def)| def.clone()).collect();
+        let outside: BTreeSet<Name> = defs.iter().map(|def| def.name.clone()).collect();
+        Member {
+            session: self.next,
+            process: self.next,
+            meters: Meters::new(&defs, &outside, ms(now), &self.limits),
+            words: BTreeMap::new(),
+            version: 0,
+            known: Vec::new(),
+        }
+    }
+
+    /// A proxy's process is gone: what it had stays aside for a window.
+    pub fn restarted(&mut self, now: Secs, proxy: usize) {
+        if self.is_empty() {
+            return;
+        }
+        let fresh = self.member(now);
+        let old = std::mem::replace(&mut self.members[proxy], fresh);
+        for (_, def) in &self.divided {
+            let shares = self.shares.get_mut(&def.name).expect("made for each");
+            self.next += 1;
+            shares.strand(
+                old.session,
+                (&proxy.to_string(), old.process),
+                None,
+                self.next,
+            );
+            let window = def.window + 2 * (def.window * self.limits.drift_permille).div_ceil(1000);
+            self.due
+                .push((ms(now) + window + 1, def.name.clone(), self.next));
+            self.divider.touch(&def.name);
+        }
+        let sessions: BTreeSet<SessionId> = self.members.iter().map(|m| m.session).collect();
+        self.divider.keep(|session| sessions.contains(&session));
+    }
+
+    /// All tell what they use and need, and are told their parts.
+    pub fn exchange(&mut self, now: Secs, mut uses: impl FnMut(usize) -> Vec<Use>) -> Vec<Told> {
+        let (at, limits) = (ms(now), self.limits.clone());
+        let due = self.due.extract_if(.., |(due, ..)| *due <= at);
+        for (_, name, number) in due.collect::<Vec<_>>() {
+            if let Some(shares) = self.shares.get_mut(&name) {
+                shares.release(number);
+                self.divider.touch(&name);
+            }
+        }
+        for (proxy, member) in self.members.iter_mut().enumerate() {
+            for used in uses(proxy) {
+                let of = self
+                    .divided
+                    .iter()
+                    .find(|(budget, _)| budget.of == used.matter);
+                if let Some((_, def)) = of {
+                    let word = member.words.get(&def.name).copied().unwrap_or(0);
+                    member
+                        .meters
+                        .heard(&def.name, word, used.busy, used.denied, at);
+                }
+            }
+            let needs = member.meters.needs(at, 1, &limits);
+            self.divider.need(member.session, &needs);
+            while let Some((name, to, version)) = member.meters.lowered(at, &limits, |_| false) {
+                let shares = self.shares.get_mut(&name).expect("made for each");
+                if shares.lower(member.session, to, version) {
+                    self.divider.touch(&name);
+                }
+                member.meters.now(&name, shares.share(member.session));
+            }
+        }
+        let (raises, _) = self.divider.divide(&self.shares, |_| 1);
+        for (name, session, units, version) in raises {
+            let shares = self.shares.get_mut(&name).expect("made for each");
+            shares.raise(session, units, version);
+        }
+        let mut told = Vec::new();
+        for (proxy, member) in self.members.iter_mut().enumerate() {
+            let mine = self
+                .shares
+                .iter()
+                .map(|(name, s)| (name.clone(), s.share(member.session)));
+            let mine: Vec<_> = mine.collect();
+            if mine != member.known {
+                member.version += 1;
+                member.meters.shares(member.version, &mine);
+                member.known = mine;
+            }
+            member.meters.lower(&self.divider.lower(member.session));
+            for (name, word, part) in member.meters.parts(at, FOR_EVER) {
+                let of = self.divided.iter().find(|(_, def)| def.name == name);
+                let Some((budget, _)) = of else { continue };
+                member.words.insert(name, word);
+                told.push((proxy, budget.of, allowance(budget, part)));
+            }
+        }
+        told
+    }
+}
+
+fn allowance(budget: &Budget, part: Part) -> Allowance {
+    Allowance {
+        units: part.units,
+        until: if part.until > 0 { f64::INFINITY } else { 0.0 },
+        after: part.after,
+        span: part.span as f64 / 1e3,
+        whole: budget.whole,
+    }
+}
--- a/crates/lab/src/model/policy.rs
+++ b/crates/lab/src/model/policy.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// What is used of budgets; baselines know none.
+    pub fn uses(&mut self, now: f64) -> Vec<Use> {
+        match self {
+            Self::Module(balancer, _) => balancer.uses(now),
+            Self::Baseline(_) => Vec::new(),
+        }
+    }
+
     pub fn handle(&mut self, now: f64, event: Event, truth: &Truth, out: &mut Vec<Action>) {
         match self {
             Self::Module(balancer, moves) => {
--- a/crates/lab/src/model/rules.rs
+++ b/crates/lab/src/model/rules.rs
@@ -1,9 +1,11 @@
-//! The four rules, checked by books of their own: nothing here asks a policy or a server's model what
+//! The four rules and the wholes of budgets, checked by books of their own: nothing here asks a policy or a server's model what
 //! it believes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use violetwind_balancer::api::Effect;
+use violetwind_balancer::api::{Effect, Matter};
+
+use crate::scenario::Budget;
 
 /// A limit is 50 ms longer than the rule says: what was on its way then may still come.
 const SLACK: f64 = 0.05;
@@ -25,6 +27,8 @@
     Drain,
     /// A cold server was pushed over.
     Cold,
+    /// More was used within a window than the whole of a budget.
+    Budget,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -49,11 +53,41 @@
     drains: HashMap<(usize, u32), f64>,
     /// Since when a cold server has been asked for too much.
     over: HashMap<u32, f64>,
+    /// Wholes and windows, and when some of each was used: at cold servers, at each.
+    wholes: Vec<(Matter, usize, f64)>,
+    used: BTreeMap<(Matter, Option<u32>), VecDeque<f64>>,
     pub breaches: Vec<Breach>,
     pub count: usize,
 }
 
 impl Rules {
+    pub fn new(budgets: &[Budget]) -> Self {
+        let kept = budgets.iter().filter(|b| b.divided || b.of != Matter::Cold);
+        let wholes = kept.map(|b| (b.of, b.whole as usize, b.window));
+        Self {
+            wholes: wholes.collect(),
+            ..Self::default()
+        }
+    }
+
+    /// One more of what a budget may be of was used, at a server where each has its own count.
+    pub fn used(&mut self, now: f64, matter: Matter, server: Option<u32>) {
+        let of = self.wholes.iter().find(|(of, ..)| *of == matter);
+        let Some((_, whole, window)) = of.copied() else {
+            return;
+        };
+        let used = self.used.entry((matter, server)).or_default();
+        used.push_back(now);
+        while used.front().is_some_and(|at| *at <= now - window) {
+            used.pop_front();
+        }
+        let count = used.len();
+        if count > whole {
+            let what = format!("{matter:?} at {server:?}: {count} of {whole} in a window");
+            self.breach(Rule::Budget, now, what);
+        }
+    }
+
     fn breach(&mut self, rule: Rule, at: f64, what: String) {
         self.count += 1;
         if self.breaches.len() < KEPT {
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -9,6 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use violetwind_balancer::api::*;
 
+use super::budgets::Budgets;
 use super::policy::{Policy, PolicyKind, Truth};
 use super::rules::{Breach, Rules};
 use super::server::{Life, Server};
@@ -108,6 +109,7 @@
     Move(RequestId),
     Silent(RequestId),
     Look,
+    Exchange,
     Begins(usize),
     Ends(usize),
     Restart(ServerId, bool),
@@ -159,6 +161,7 @@
     next_id: RequestId,
     truth: Truth,
     rules: Rules,
+    budgets: Budgets,
     rate: f64,
     heavy: Option<(f64, f64, f64)>,
     cut: Option<usize>,
@@ -246,7 +249,8 @@
             asked: HashMap::new(),
             next_id: 0,
             truth: Truth::default(),
-            rules: Rules::default(),
+            rules: Rules::new(&set.budgets),
+            budgets: Budgets::new(set),
             rate: set.rate(),
             heavy: None,
             cut: None,
@@ -292,6 +296,9 @@
             None => self.make_up(),
         }
         self.after(0.0, Step::Look);
+        if !self.budgets.is_empty() {
+            self.after(self.set.exchange, Step::Exchange);
+        }
         for (n, trouble) in self.set.troubles.iter().enumerate() {
             self.at(trouble.at, Step::Begins(n));
             self.at(trouble.at + trouble.lasts, Step::Ends(n));
@@ -328,7 +335,21 @@
         self.next_arrival();
     }
 
+    fn exchange(&mut self) {
+        let (now, proxies) = (self.now, &mut self.proxies);
+        let told = self
+            .budgets
+            .exchange(now, |proxy| proxies[proxy].policy.uses(now));
+        for (proxy, matter, allowance) in told {
+            self.tell(proxy, Event::Allowance(matter, allowance));
+        }
+        self.after(self.set.exchange, Step::Exchange);
+    }
+
     fn start_proxy(&mut self, proxy: usize) {
+        for (matter, allowance) in self.budgets.first(self.set, proxy) {
+            self.tell(proxy, Event::Allowance(matter, allowance));
+        }
         self.tell(proxy, Event::Start);
         let entries = (0..self.servers.len())
             .filter(|&n| self.servers[n].life == Life::Up)
@@ -391,6 +412,7 @@
                 }
             }
             Step::Look => self.look(),
+            Step::Exchange => self.exchange(),
             Step::Begins(n) => self.begins(n),
             Step::Ends(n) => self.ends(n),
             Step::Restart(server, cold) => self.restart(server, cold),
@@ -469,7 +491,8 @@
         }
         // The front deals clients out among the proxies of their zone.
         let of_zone = self.set.proxies.div_ceil(self.set.zones);
-        let turn = (self.own(n, tries as u64) * of_zone as f64) as usize;
+        let at = self.own(n, tries as u64).powf(1.0 + self.set.demand.skew);
+        let turn = (at * of_zone as f64) as usize;
         let proxy = (turn * self.set.zones + zone) % self.set.proxies;
         let id = self.next_id;
         self.next_id += 1;
@@ -687,6 +710,7 @@
             }
             Action::Move(id) => {
                 if self.up_on(id).is_some() {
+                    self.rules.used(self.now, Matter::Moves, None);
                     // Not within the module's own call.
                     self.after(self.set.network.near, Step::Move(id));
                 }
@@ -711,6 +735,7 @@
 
     fn probe(&mut self, proxy: usize, server: ServerId) {
         self.counts.probes += 1;
+        self.rules.used(self.now, Matter::Probes, None);
         let process = self.proxies[proxy].process;
         let trip = self.trip(proxy, server);
         let place = &self.servers[server as usize];
@@ -742,6 +767,17 @@
         asked.attempt += 1;
         asked.out = Some(server);
         let attempt = asked.attempt;
+        if attempt > 1 {
+            self.rules.used(self.now, Matter::Further, None);
+        }
+        // Every proxy has heard by then that it is cold.
+        let place = &self.servers[server as usize];
+        let told = place
+            .born
+            .map_or(0.0, |born| born + 1.5 * self.set.lists.delay);
+        if place.warmth(self.now, &self.set.server) < 1.0 && self.now > told {
+            self.rules.used(self.now, Matter::Cold, Some(server));
+        }
         self.after(timeout, Step::TimeOut(id, attempt));
         if !self.reaches(proxy, server) {
             let after = self.set.network.connect.min(timeout);
@@ -1094,6 +1130,7 @@
             self.again(n, 0.3);
         }
         self.rules.proxy_forgets(proxy);
+        self.budgets.restarted(self.now, proxy);
         let place = &mut self.proxies[proxy];
         place.process += 1;
         let seed = self.seed ^ (proxy as u64) << 20 ^ u64::from(place.process) << 50;
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use violetwind_balancer::api::Effect;
+use violetwind_balancer::api::{Effect, Matter};
 use violetwind_conf::{Problem, Problems, Section, Tree};
 
 use crate::replay::Recorded;
@@ -26,10 +26,31 @@
     pub lists: Lists,
     pub network: Network,
     pub troubles: Vec<Trouble>,
+    pub budgets: Vec<Budget>,
+    /// Proxies are asked what they use of budgets, and told their parts, so often.
+    pub exchange: f64,
     /// Recorded clients instead of made-up ones.
     pub replayed: Option<Arc<Vec<Recorded>>>,
 }
 
+/// A whole that all proxies keep together, of what is used within any window.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    pub of: Matter,
+    pub whole: u64,
+    pub floor: u64,
+    pub window: f64,
+    /// By need; or else each proxy has a fixed part, at cold servers as the module divides alone.
+    pub divided: bool,
+}
+
+const MATTERS: [(&str, Matter); 4] = [
+    ("retries", Matter::Further),
+    ("moves", Matter::Moves),
+    ("probes", Matter::Probes),
+    ("cold", Matter::Cold),
+];
+
 #[derive(Clone, Debug)]
 pub struct Server {
     /// Seconds of work a second, and the share by which servers differ.
@@ -64,6 +85,9 @@
     pub retries: usize,
     /// The load of a connection changes after about this.
     pub change: f64,
+    /// How unevenly clients come to the proxies of their zone: 0 evenly; with 1 the first half of them gets 0.71,
+    /// with 3 the first tenth 0.56.
+    pub skew: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -225,6 +249,7 @@
                 retry: span(&demand, "retry", 0.01, 600.0, 1.0),
                 retries: demand.int("retries", 0..=1000, 8) as usize,
                 change: span(&demand, "change", 0.1, 86_400.0, 10.0),
+                skew: demand.number("skew", 0.0..=20.0, 0.0),
             },
             lists: Lists {
                 delay: span(&lists, "delay", 0.0, 60.0, 0.3),
@@ -238,6 +263,8 @@
             },
             classes: root.sections("class").iter().map(class).collect(),
             troubles: root.sections("trouble").iter().map(trouble).collect(),
+            budgets: root.sections("budget").iter().map(budget).collect(),
+            exchange: span(&fleet, "exchange", 0.01, 60.0, 0.1),
             replayed: None,
         };
         for section in [&fleet, &server, &demand, &lists, &network] {
@@ -257,6 +284,17 @@
                 );
             }
         }
+        for (at, budget) in scenario.budgets.iter().enumerate() {
+            if scenario.budgets[..at]
+                .iter()
+                .any(|known| known.of == budget.of)
+            {
+                root.wrong("budget", "two of the same");
+            }
+            if budget.floor.saturating_mul(scenario.proxies as u64) > budget.whole {
+                root.wrong("budget", "floors of all proxies are more than the whole");
+            }
+        }
         let bytes = scenario.bytes();
         if bytes > MOST_BYTES {
             let (gb, most) = (bytes as f64 / 1e9, MOST_BYTES as f64 / 1e9);
@@ -283,6 +321,7 @@
         line(format!("proxies = {}", self.proxies));
         line(format!("servers = {}", self.servers));
         line(format!("zones = {}", self.zones));
+        line(format!("exchange = \"{}\"", span(self.exchange)));
         let s = &self.server;
         line("\n[server]".into());
         line(format!("capacity = {}", s.capacity));
@@ -306,6 +345,7 @@
         line(format!("retry = \"{}\"", span(d.retry)));
         line(format!("retries = {}", d.retries));
         line(format!("change = \"{}\"", span(d.change)));
+        line(format!("skew = {}", d.skew));
         line("\n[lists]".into());
         line(format!("delay = \"{}\"", span(self.lists.delay)));
         line(format!("grace = \"{}\"", span(self.lists.grace)));
@@ -340,6 +380,22 @@
             ));
             line(format!("effect = \"{effect}\""));
         }
+        for budget in &self.budgets {
+            let of = MATTERS.iter().find(|(_, of)| *of == budget.of);
+            line(format!(
+                "\n[[budget]]\nof = {:?}",
+                of.map_or("?", |(name, _)| name)
+            ));
+            line(format!(
+                "whole = {}\nfloor = {}",
+                budget.whole, budget.floor
+            ));
+            let window = span(budget.window);
+            line(format!(
+                "window = \"{window}\"\ndivided = {}",
+                budget.divided
+            ));
+        }
         for trouble in &self.troubles {
             let (at, lasts) = (span(trouble.at), span(trouble.lasts));
             line(format!("\n[[trouble]]\nkind = {:?}", trouble.kind.name()));
@@ -406,6 +462,21 @@
     class
 }
 
+fn budget(section: &Section<'_>) -> Budget {
+    if !section.has("of") {
+        section.wrong("of", "expected what the budget is of, found nothing");
+    }
+    let budget = Budget {
+        of: section.choice("of", &MATTERS, Matter::Further),
+        whole: section.int("whole", 1..=1_000_000, 1),
+        floor: section.int("floor", 0..=1_000_000, 0),
+        window: span(section, "window", 0.1, 3600.0, 1.0),
+        divided: section.flag("divided", true),
+    };
+    section.finish();
+    budget
+}
+
 fn trouble(section: &Section<'_>) -> Trouble {
     if !section.has("kind") {
         section.wrong("kind", "expected the kind of a trouble, found nothing");
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -1,14 +1,16 @@
 //! The lab holds to what it says: runs repeat, rules are seen to break, files are checked.
 
+use violetwind_balancer::api::Matter;
 use violetwind_lab::experiment::{Side, compare, play, score};
 use violetwind_lab::hunt::{Quarry, hunt};
-use violetwind_lab::model::{PolicyKind, Rule, run};
+use violetwind_lab::model::{Breach, PolicyKind, Rule, run};
 use violetwind_lab::replay::Recording;
 use violetwind_lab::report::{self, Played};
-use violetwind_lab::scenario::{Kind, Scenario};
+use violetwind_lab::scenario::{Budget, Kind, Scenario, Trouble};
 use violetwind_record::{Answer, End, Limits, Record, Recorder, Request};
 
 const SMALL: &str = include_str!("../scenarios/small-day.toml");
+const COLD: &str = include_str!("../scenarios/cold-deploy.toml");
 const CAMPAIGN: &str = include_str!("../scenarios/campaign.toml");
 
 fn read(text: &str) -> Scenario {
@@ -35,6 +37,39 @@
     assert_ne!(one, other);
 }
 
+/// Wholes that are divided by need are never passed, while proxies restart and servers come up cold; a policy that knows
+/// no budgets passes them, and is found.
+#[test]
+fn budgets_divided_among_proxies_are_kept_by_the_module_and_broken_by_who_knows_none() {
+    let mut scenario = read(COLD);
+    scenario.seconds = 40.0;
+    let budget = scenario.budgets[0].clone();
+    let matters = [Matter::Cold, Matter::Further, Matter::Moves, Matter::Probes];
+    let whole = [40, 10, 20, 300];
+    let tight = |(of, whole)| Budget {
+        of,
+        whole,
+        divided: true,
+        ..budget.clone()
+    };
+    scenario.budgets = matters.into_iter().zip(whole).map(tight).collect();
+    let restart = Trouble {
+        kind: Kind::ProxiesRestart,
+        at: 20.0,
+        share: 0.4,
+        ..scenario.troubles[0].clone()
+    };
+    scenario.troubles.push(restart);
+    for seed in 1..=3 {
+        let outcome = run(&scenario, PolicyKind::Module, seed);
+        assert!(outcome.breaches.is_empty(), "{:?}", outcome.breaches);
+        assert!(outcome.moves > 20 && outcome.probes > 1000, "{outcome:?}");
+        let random = run(&scenario, PolicyKind::Random, seed);
+        let of = |breach: &Breach| breach.rule == Rule::Budget;
+        assert!(random.breaches.iter().any(of), "nothing was found");
+    }
+}
+
 /// The module keeps the rules through the hard cases: heavy requests, a rolling deploy with cold
 /// successors, and both at once.
 #[test]
