A client waits for one exchange of the fleet, and a lowered share tells what is wanted

A client beyond the part of its class or tenant was refused at once though the fleet could have served it an exchange later: it waits up to 300 ms after its coming while more may come, and a grown part serves whoever waits.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -86,6 +86,8 @@
     pub span: Secs,
     /// What all balancers have together.
     pub whole: u64,
+    /// An exchange among balancers may bring more within so long of a request's coming; 0 where it would not.
+    pub wait: Secs,
 }
 
 /// What a balancer uses of a part that it has.
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -149,7 +149,10 @@
                 self.place_waiting(Some(server), out);
             }
             Event::Taking(taking) => self.on_taking(taking, out),
-            Event::Allowance(matter, part) => self.state.allow(matter, part),
+            Event::Allowance(matter, part) => {
+                self.state.allow(matter, part);
+                self.place_waiting(None, out);
+            }
             Event::Settings(set) => {
                 self.state.resize(&set);
                 self.state.forget_orders();
@@ -402,7 +405,7 @@
         let left = conn.deadline - now;
         let aim = self.set.classes[conn.request.class].aim;
         let attempts = conn.tried.len();
-        let may_ask = self.may_ask(conn);
+        let (waited, may_ask) = (conn.request.patience - left, self.may_ask(conn));
         if left <= 0.0
             || attempts >= self.set.max_attempts
             || self.taking == Taking::Nothing
@@ -411,9 +414,15 @@
             return self.give_up(id, out);
         }
         // Further attempts may be rationed, and so may what all balancers have in common.
-        if attempts > 0 && !self.affordable() || !self.has_parts(id) {
+        if attempts > 0 && !self.affordable() {
             return self.give_up(id, out);
         }
+        if let Some(wait) = self.lacks_part(id, waited < OFTEN / 2.0) {
+            return match waited < wait && left > aim {
+                true => self.wait(id, None, out),
+                false => self.give_up(id, out),
+            };
+        }
         let Some(to) = self.choose(id) else {
             // A restarted or wholly cold fleet: a server may turn up soon. A full one is no reason.
             let open = self.state.servers.iter().any(|(id, s)| self.open(*id, s));
@@ -458,13 +467,19 @@
             && self.state.has_part(Matter::Further, 0)
     }
 
-    /// Whether one more of its class and tenant is within this balancer's parts, where it has any.
-    fn has_parts(&mut self, id: RequestId) -> bool {
+    /// Whether one more of its class or tenant is beyond this balancer's part, and how long after its
+    /// coming an exchange may bring it. What has just come is counted as turned away from the part.
+    fn lacks_part(&mut self, id: RequestId, came: bool) -> Option<Secs> {
         let request = &self.state.conns[&id].request;
-        let (class, tenant) = (request.class, request.tenant);
         // The tenant's count has the request from the moment it came.
-        self.state.has_part(Matter::Class(class), 0)
-            && tenant.is_none_or(|tenant| self.state.has_part(Matter::Tenant(tenant), 1))
+        let tenant = request.tenant.map(|tenant| (Matter::Tenant(tenant), 1));
+        let parts = [Some((Matter::Class(request.class), 0)), tenant];
+        let lacks = |(matter, own): &(Matter, u64)| !self.state.room(*matter, *own);
+        let (matter, _) = parts.into_iter().flatten().find(lacks)?;
+        if came {
+            self.state.deny(matter);
+        }
+        Some(self.state.part_wait(matter))
     }
 
     /// What is used of each part of a whole that was told.
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -473,6 +473,13 @@
         room
     }
 
+    /// How long after its coming a request may wait for a part that has no room for it.
+    pub fn part_wait(&self, matter: Matter) -> Secs {
+        let part = self.parts.get(&matter).map(|(part, _)| part);
+        part.filter(|part| self.now < part.until)
+            .map_or(0.0, |part| part.wait)
+    }
+
     /// A larger part would have been used.
     pub fn deny(&mut self, matter: Matter) {
         if let Some((_, denied)) = self.parts.get_mut(&matter) {
--- a/crates/balancer/tests/rules.rs
+++ b/crates/balancer/tests/rules.rs
@@ -294,6 +294,7 @@
         after,
         span: 5.0,
         whole: 10,
+        wait: 0.0,
     }
 }
 
@@ -511,3 +512,38 @@
     assert!(kept.len() > 3 && fullest(&kept) == 3, "{kept:?}");
     assert!(moves(Some(0)).is_empty());
 }
+
+/// What one exchange among balancers may bring is waited for, a named time at most, and then there is an answer.
+#[test]
+fn a_request_waits_for_a_part_that_may_grow_and_no_longer_than_is_said() {
+    let mut bench = Bench::new(settings(), (1..9).map(entry).collect(), 1);
+    let hopeful = |units| Allowance {
+        wait: 0.3,
+        ..part(units, 1e9, 0)
+    };
+    bench.on(Event::Allowance(Matter::Class(0), hopeful(2)));
+    assert!(bench.place(1).is_some() && bench.place(2).is_some());
+    // The third and the fourth wait; the part grows by one.
+    for id in [3, 4] {
+        let actions = bench.on(Event::Request(request(id)));
+        assert!(refused(&actions).is_empty() && sent_to(&actions, id).is_none());
+    }
+    assert_eq!(bench.balancer.uses(bench.now)[0].denied, 2, "each once");
+    bench.now += 0.1;
+    let actions = bench.on(Event::Allowance(Matter::Class(0), hopeful(3)));
+    assert!(sent_to(&actions, 3).is_some() && sent_to(&actions, 4).is_none());
+    // The fourth has its answer once the named time is over, whatever its client would wait for.
+    bench.now += 0.15;
+    assert!(refused(&bench.on(Event::Timer(1))).is_empty());
+    bench.now += 0.1;
+    assert_eq!(refused(&bench.on(Event::Timer(1))), [4]);
+    assert_eq!(bench.balancer.uses(bench.now)[0].denied, 2);
+    // Where no more is to be had, and where the client has no time, the answer comes at once.
+    let hasty = Request {
+        patience: 0.4,
+        ..request(5)
+    };
+    assert_eq!(refused(&bench.on(Event::Request(hasty))), [5]);
+    bench.on(Event::Allowance(Matter::Class(0), part(3, 1e9, 0)));
+    assert_eq!(refused(&bench.on(Event::Request(request(6)))), [6]);
+}
--- a/crates/fleet/src/budget/meter.rs
+++ b/crates/fleet/src/budget/meter.rs
@@ -27,8 +27,13 @@
     pub after: u64,
     /// Of a rate: the span within which it is counted, which allows for clocks that run fast.
     pub span: Millis,
+    /// More may come with an exchange: what is needed has not been refused by the leader lately.
+    pub hopeful: bool,
 }
 
+/// After so many renewals that brought less than was needed there is no more to be had.
+const ROUNDS: u32 = 3;
+
 /// A budget that is counted elsewhere: what was told there, and what was heard back.
 #[derive(Clone, Debug, Default)]
 struct Outside {
@@ -48,6 +53,8 @@
     /// From then on the floor may be used: what a process before this one used of a rate is forgotten.
     floor_from: Millis,
     share: Share,
+    /// Renewals in a row that brought less than was needed.
+    short: u32,
     /// What the leader wishes it to go down to.
     target: Option<u64>,
     /// The least that was said to be used at most, and the version of the share that this stands on.
@@ -138,6 +145,7 @@
                 def: def.clone(),
                 floor_from: begun,
                 share: Share::default(),
+                short: 0,
                 target: None,
                 lower: None,
                 held: 0,
@@ -196,6 +204,7 @@
         let mut parts = Vec::new();
         for (name, meter) in &mut self.meters {
             let (floor, usable, window) = (meter.floor(now), meter.usable(), meter.def.window);
+            let hopeful = now < end && meter.short < ROUNDS && meter.target.is_none();
             let Some(outside) = &mut meter.outside else {
                 continue;
             };
@@ -207,6 +216,7 @@
                 until,
                 after: floor,
                 span: window + window / 50 + 1,
+                hopeful,
             };
             outside.less = false;
             if outside.told != Some(part) {
@@ -313,6 +323,18 @@
         needs
     }
 
+    /// The leader has answered a renewal: whether what was needed has come with it.
+    pub fn answered(&mut self) {
+        for (name, meter) in &mut self.meters {
+            let wants = self.told.get(name).map_or(0, |told| told.wants);
+            meter.short = if wants > meter.share.units {
+                meter.short + 1
+            } else {
+                0
+            };
+        }
+    }
+
     pub fn have(&self) -> u64 {
         self.have
     }
@@ -366,25 +388,44 @@
         }
     }
 
-    /// What can be lowered now: down to the target, or to what is in use; with the version that it stands on. A word
-    /// that `is_out` is not said again.
+    /// What can be lowered now: down to the target, or to what is in use, and below the target where less is wanted;
+    /// with the version that it stands on, and what is wanted. A word that `is_out` is not said again.
     pub fn lowered(
         &mut self,
         now: Millis,
         limits: &Limits,
         is_out: impl Fn(&Name) -> bool,
-    ) -> Option<(Name, u64, u64)> {
+    ) -> Option<(Need, u64, u64)> {
         for (name, meter) in &mut self.meters {
             meter.forget(now, limits);
             let version = meter.share.version;
             if let Some(target) = meter.target.filter(|_| meter.settled()) {
                 let said = meter.lower.filter(|(_, same)| *same == version);
                 let said = said.map_or(u64::MAX, |(to, _)| to);
-                let to = target.max(meter.beyond(now)).min(said);
+                let (busy, denied) = (meter.beyond(now), meter.denied.len() as u64);
+                let wants = (busy + denied).min(meter.def.pool());
+                // Whoever counts elsewhere has been told the target, and may use that much meanwhile.
+                let wanted = match meter.outside {
+                    Some(_) => target,
+                    None => target.min(wants),
+                };
+                let to = wanted.max(busy).min(said);
                 if to < meter.share.units && (to < said || !is_out(name)) {
                     // Nothing beyond it is used from here on, whatever becomes of the word.
                     meter.lower = Some((to, version));
-                    return Some((name.clone(), to, version));
+                    let budget = name.clone();
+                    let need = Need {
+                        budget,
+                        busy,
+                        wants,
+                    };
+                    // The word may come late, or never: the next renewal tells it again.
+                    let again = Need {
+                        busy: u64::MAX,
+                        ..need.clone()
+                    };
+                    self.told.insert(name.clone(), again);
+                    return Some((need, to, version));
                 }
             }
         }
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -421,12 +421,12 @@
                 (What::Release(duty, giving.fence), ask)
             }
             (Some(session), _) if lowered.is_some() => {
-                let (budget, to, version) = lowered.expect("just seen");
+                let (need, to, version) = lowered.expect("just seen");
                 (
-                    What::Lower(budget.clone()),
+                    What::Lower(need.budget.clone()),
                     Ask::Lower {
                         session: session.id,
-                        budget,
+                        need,
                         to,
                         version,
                     },
@@ -542,6 +542,7 @@
                     self.meters.lower(lower);
                     self.term = *term;
                 }
+                self.meters.answered();
                 self.renewed(*at, now, held, give_up, limits, events);
             }
             (What::Renew, Told::Gone) => {
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -23,6 +23,8 @@
     /// After a new process of a name has begun: what the one before held is not given out again for so long, until
     /// the servers have seen the end of its connections.
     pub linger: Millis,
+    /// What lacks a unit of a budget waits so long at most for an exchange that may bring it.
+    pub exchange: Millis,
     /// Calls that wait for a unit of a budget; more are refused at once.
     pub waits: usize,
     /// Asks that wait for the log at a leader.
@@ -65,6 +67,7 @@
             weight: 1,
             needs: 256,
             linger: 1000,
+            exchange: 300,
             waits: 1024,
             asks: 8192,
             snapshot_every: 2000,
--- a/crates/fleet/src/member/leader.rs
+++ b/crates/fleet/src/member/leader.rs
@@ -96,7 +96,7 @@
             }
             Ask::Lower {
                 session,
-                budget,
+                need,
                 to,
                 version,
             } => {
@@ -104,10 +104,13 @@
                 if known.is_none_or(|known| known.name != from) {
                     return self.reply(from, number, Told::Gone);
                 }
+                // Or what was wanted a while ago would be given back to it.
+                let needs = std::slice::from_ref(need);
+                running.divider.need(*session, needs);
                 let (session, to, version) = (*session, *to, *version);
                 Some(Command::Lower {
                     session,
-                    budget: budget.clone(),
+                    budget: need.budget.clone(),
                     to,
                     version,
                 })
--- a/crates/fleet/src/member/log.rs
+++ b/crates/fleet/src/member/log.rs
@@ -205,10 +205,8 @@
             Effect::NameInUse => Told::Later("another session has this name".into()),
             Effect::Refused(why) => Told::Refused(why.into()),
             Effect::Done => match ask {
-                Ask::Lower {
-                    session, budget, ..
-                } => {
-                    let known = running.state.budgets().get(&budget);
+                Ask::Lower { session, need, .. } => {
+                    let known = running.state.budgets().get(&need.budget);
                     Told::Lowered(known.map(|known| known.share(session)).unwrap_or_default())
                 }
                 // Members of the log follow.
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -72,10 +72,10 @@
         needs: Vec<Need>,
         have: u64,
     },
-    /// The asker uses no more than this from now on.
+    /// The asker uses no more than this from now on, and needs so much now.
     Lower {
         session: SessionId,
-        budget: Name,
+        need: Need,
         to: u64,
         version: u64,
     },
--- a/crates/fleet/tests/budgets.rs
+++ b/crates/fleet/tests/budgets.rs
@@ -84,7 +84,7 @@
 /// an earlier holding left a duty with who had given it up (3894).
 #[test]
 fn seeds_that_have_found_something_stay_clean() {
-    for seed in [4545, 3045, 1256, 1766, 3894] {
+    for seed in [4545, 3045, 1256, 1766, 3894, 1003] {
         campaign(seed..seed + 1);
     }
 }
--- a/crates/lab/src/model/budgets.rs
+++ b/crates/lab/src/model/budgets.rs
@@ -90,6 +90,7 @@
                 after: units,
                 span: budget.window,
                 whole,
+                wait: 0.0,
             };
             (budget.of, allowance)
         };
@@ -169,7 +170,9 @@
             }
             let needs = member.meters.needs(at, 1, &limits);
             self.divider.need(member.session, &needs);
-            while let Some((name, to, version)) = member.meters.lowered(at, &limits, |_| false) {
+            while let Some((need, to, version)) = member.meters.lowered(at, &limits, |_| false) {
+                let (session, name) = (member.session, need.budget.clone());
+                self.divider.need(session, &[need]);
                 let shares = self.shares.get_mut(&name).expect("made for each");
                 if shares.lower(member.session, to, version) {
                     self.divider.touch(&name);
@@ -213,5 +216,7 @@
         after: part.after,
         span: part.span as f64 / 1e3,
         whole: budget.whole,
+        // Nothing that a client would wait for is a budget here.
+        wait: 0.0,
     }
 }
--- a/crates/proxy/src/fleet/allowances.rs
+++ b/crates/proxy/src/fleet/allowances.rs
@@ -38,6 +38,8 @@
     service: Rc<Service>,
     started: Instant,
     every: Duration,
+    /// How long a client may wait for a larger part.
+    exchange: Duration,
 }
 
 impl Allowances {
@@ -74,6 +76,7 @@
             service,
             started: Instant::now(),
             every: settings.links.uses,
+            exchange: Duration::from_millis(settings.limits.exchange),
         })
     }
 
@@ -144,6 +147,11 @@
                 after: part.after,
                 span: part.span as f64 / 1000.0,
                 whole: counted.def.whole,
+                wait: if part.hopeful {
+                    self.exchange.as_secs_f64()
+                } else {
+                    0.0
+                },
             };
             let same = counted
                 .said
@@ -192,6 +200,7 @@
             until: 0,
             after: floor,
             span: window,
+            hopeful: false,
         };
         let (number, part) = self.told.unwrap_or((0, alone));
         match elder {
--- a/crates/proxy/src/fleet/frames.rs
+++ b/crates/proxy/src/fleet/frames.rs
@@ -8,7 +8,7 @@
 
 /// Before the first value, so that another version can be told from anything else.
 const MAGIC: &[u8] = b"violetwind fleet";
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
--- a/crates/storm/examples/budgets.rs
+++ b/crates/storm/examples/budgets.rs
@@ -70,6 +70,12 @@
             floorless / bound
         );
     }
+    for delay in [0, 2, 10, 20] {
+        let mut world = world(3, 5, WHOLE, 1);
+        world.delay = (0, delay);
+        let divided = mean(&mut world, "moving", 5);
+        println!("  moving, links of 0 to {delay} ms: {divided:.3}");
+    }
     println!(
         "members: frames a second and member (idle, moving), CPU of a member's code, from pressure to half of the pool"
     );
