Floors of members that no file names are set aside, and budgets are measured on processes

A bench of five processes met 60 of 50 units in use: its files named fewer members than there were, and each member uses its floor without asking. Who joins beyond the number has its floor set aside from then on (a test that failed before). New tests on 5 and 40 processes: files that come one by one, lower, differ and lack the budget; forty members that come and go. Callers are a stand-in now.

--- a/crates/fleet/src/budget/shares.rs
+++ b/crates/fleet/src/budget/shares.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// So many members there are, whatever files say: each has a floor that it may use without asking.
+    pub fn peopled(&mut self, members: u64) {
+        self.members = self.members.max(members);
+    }
+
     /// What may be given beyond floors.
     pub fn pool(&self) -> u64 {
         self.def
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -440,7 +440,9 @@
                 .or_insert_with(|| Shares::new(def.clone()))
                 .define(def);
         }
+        let members = self.sessions.len() as u64 + 1;
         for (budget, shares) in &mut self.budgets {
+            shares.peopled(members);
             let of = uses.iter().find(|(name, _)| name == budget);
             shares.rejoin(id, (&name, process), of.map_or(0, |(_, uses)| *uses));
         }
--- a/crates/fleet/tests/budgets.rs
+++ b/crates/fleet/tests/budgets.rs
@@ -426,3 +426,23 @@
     );
     assert!(world.most.values().any(|most| *most == 3));
 }
+
+/// Files that name three members of five: the floors of the other two are set aside as soon as they are there.
+#[test]
+fn members_that_no_file_names_have_their_floors_set_aside() {
+    let def = Def {
+        name: "tenant".into(),
+        kind: Kind::Held,
+        whole: 50,
+        floor: 10,
+        window: 0,
+        members: 3,
+        version: 1,
+    };
+    let mut world = World::with_budgets(7, 3, 2, Planted::Nothing, vec![def]);
+    world.run(5000);
+    world.press = (0..5).map(|at| (name(at), 1.0)).collect();
+    world.run(10_000);
+    assert_eq!(world.wrong, None);
+    assert_eq!(world.in_use("tenant"), 50, "it was pressed");
+}
--- a/crates/proxy/benches/duties.rs
+++ b/crates/proxy/benches/duties.rs
@@ -7,6 +7,7 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
+use violetwind_standins::callers::{Callers, Wants};
 use violetwind_standins::members::{Members, Spec, name};
 use violetwind_standins::mono_ms;
 use violetwind_standins::{Peer, books};
@@ -181,6 +182,60 @@
     program
 }
 
+/// Of a budget that programs hold: all of it, and callers that want whatever there is. An address for operators hears
+/// no more than these at once.
+const WHOLE: usize = 50;
+const CALLERS: u32 = 8;
+
+/// How much of the whole is in use under pressure that is even, on one member but for one unit at each other, or on the
+/// next member each second.
+fn in_use(pattern: &str, count: usize, floor: usize) -> f64 {
+    let mut spec = spec(count.min(3), count.saturating_sub(3), true);
+    spec.fleet_lines += &format!("members = {count}\n");
+    spec.lines = format!(
+        "[[fleet.budget]]\nname = \"slots\"\nkind = \"held\"\nwhole = {WHOLE}\nfloor = {floor}\n"
+    );
+    let members = Members::start(spec);
+    members.until("all are there", |members| {
+        let view = members.view(0)?;
+        let live = view["members"].as_array()?;
+        let live = live.iter().filter(|member| member["state"] == "live");
+        (live.count() == count).then_some(())
+    });
+    let callers = Callers::start(
+        &members,
+        &Wants {
+            each: CALLERS,
+            held: "slots".into(),
+            hold: Duration::from_millis(500),
+            greedy: true,
+            rate: None,
+        },
+    );
+    let (mut sum, seconds) = (0.0, 12);
+    for second in 0..seconds {
+        for at in 0..count {
+            let hot = match pattern {
+                "even" => CALLERS,
+                "skewed" if at == 0 => CALLERS,
+                "moving" if at == second % count => CALLERS,
+                _ => 1,
+            };
+            callers.press(at, hot);
+        }
+        let mean = callers.mean(Duration::from_secs(1));
+        // The first seconds find the pressure.
+        sum += if second >= 2 { mean } else { 0.0 };
+    }
+    let books = callers.end();
+    assert!(
+        books.most <= WHOLE,
+        "{pattern}, {count} with {floor}: {} of {WHOLE}",
+        books.most
+    );
+    sum / (seconds - 2) as f64
+}
+
 /// Bytes that the loopback interface has carried.
 fn carried() -> u64 {
     let text = std::fs::read_to_string("/proc/net/dev").unwrap();
@@ -347,6 +402,17 @@
         }
         std::fs::remove_dir_all(&dir).unwrap();
     }
+    if wants("budgets") {
+        for pattern in ["even", "skewed", "moving"] {
+            let static_part = in_use(pattern, 5, WHOLE / 5);
+            let (divided, bound) = (in_use(pattern, 5, 1), in_use("even", 1, WHOLE));
+            println!(
+                "{pattern}: of {WHOLE} in use {static_part:.1} divided evenly, {divided:.1} by need, {bound:.1} by one \
+                 that has all: {:.2} of the bound",
+                divided / bound
+            );
+        }
+    }
     if wants("sessions") {
         let members = Members::start(spec(3, 297, true));
         let leads = members.until("a leader", |members| {
--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -1,20 +1,20 @@
 //! Budgets over several real processes, counted from outside: by callers who take units and give them back.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use violetwind_standins::Peer;
+use violetwind_standins::callers::{Callers, Wants};
 use violetwind_standins::members::{Members, Spec};
 use violetwind_standins::relay::Way;
 
 const WHOLE: usize = 60;
 const RATE: usize = 80;
 const WINDOW: Duration = Duration::from_millis(1000);
+const EACH: u32 = 24;
 
 fn spec(voters: usize, others: usize) -> Spec {
     let members = voters + others;
@@ -33,153 +33,14 @@
     }
 }
 
-/// What callers saw, with the planted error of a unit that nobody was given.
-#[derive(Default)]
-struct Books {
-    /// Units in use by member and token.
-    units: BTreeMap<usize, BTreeSet<u64>>,
-    most: usize,
-    /// When a unit of a rate was asked for, and when the answer had come: it was used in between.
-    used: Vec<(Instant, Instant)>,
-    refused: u64,
-}
-
-impl Books {
-    fn in_use(&self) -> usize {
-        self.units.values().map(BTreeSet::len).sum()
-    }
-
-    fn take(&mut self, at: usize, token: u64) {
-        self.units.entry(at).or_default().insert(token);
-        self.most = self.most.max(self.in_use());
-    }
-
-    /// The most uses that surely were within one window.
-    fn most_in_a_window(&self) -> usize {
-        let mut used = self.used.clone();
-        used.sort();
-        let within = |from: Instant| {
-            used.iter()
-                .filter(|(asked, told)| *asked >= from && *told <= from + WINDOW)
-                .count()
-        };
-        used.iter()
-            .map(|(asked, _)| within(*asked))
-            .max()
-            .unwrap_or(0)
-    }
-}
-
-struct Callers {
-    books: Arc<Mutex<Books>>,
-    /// Callers that press each member.
-    press: Arc<Vec<AtomicU32>>,
-    over: Arc<AtomicBool>,
-    threads: Vec<thread::JoinHandle<()>>,
-}
-
-fn call(at: SocketAddr, line: &str) -> Option<String> {
-    let call = || -> std::io::Result<String> {
-        let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(300))?;
-        stream.set_read_timeout(Some(Duration::from_millis(1200)))?;
-        stream.write_all(format!("{line}\n").as_bytes())?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer)?;
-        Ok(answer.trim_end().to_string())
-    };
-    call().ok()
-}
-
-impl Callers {
-    const EACH: u32 = 24;
-
-    /// Callers that use the held budget, and the rate too if asked.
-    fn start(members: &Members, rates: bool) -> Self {
-        let books = Arc::new(Mutex::new(Books::default()));
-        let press: Arc<Vec<AtomicU32>> =
-            Arc::new((0..members.count()).map(|_| AtomicU32::new(0)).collect());
-        let over = Arc::new(AtomicBool::new(false));
-        static TOKEN: AtomicU64 = AtomicU64::new(1);
-        let mut threads = Vec::new();
-        for at in 0..members.count() {
-            let addr = members.management(at);
-            for number in 0..Self::EACH {
-                let (books, press, over) = (books.clone(), press.clone(), over.clone());
-                threads.push(thread::spawn(move || {
-                    while !over.load(Ordering::Relaxed) {
-                        if number >= press[at].load(Ordering::Relaxed) {
-                            thread::sleep(Duration::from_millis(5));
-                            continue;
-                        }
-                        let token = TOKEN.fetch_add(1, Ordering::Relaxed);
-                        // Longer than the test: nothing comes back by itself.
-                        if call(addr, &format!("FLEET TAKE tenant {token} 600000")).as_deref()
-                            == Some("200 taken")
-                        {
-                            books.lock().unwrap().take(at, token);
-                            thread::sleep(Duration::from_millis(60));
-                            let there = books
-                                .lock()
-                                .unwrap()
-                                .units
-                                .get_mut(&at)
-                                .is_some_and(|of| of.remove(&token));
-                            // Whoever was killed needs no unit back; one that is stopped gets it when it goes on.
-                            while there
-                                && !over.load(Ordering::Relaxed)
-                                && call(addr, &format!("FLEET GIVE tenant {token}")).is_none()
-                            {
-                                thread::sleep(Duration::from_millis(20));
-                            }
-                        } else {
-                            books.lock().unwrap().refused += 1;
-                        }
-                        if !rates {
-                            continue;
-                        }
-                        let asked = Instant::now();
-                        if call(addr, &format!("FLEET TAKE retries {token}")).as_deref()
-                            == Some("200 taken")
-                        {
-                            books.lock().unwrap().used.push((asked, Instant::now()));
-                        }
-                    }
-                }));
-            }
-        }
-        Self {
-            books,
-            press,
-            over,
-            threads,
-        }
-    }
-
-    fn press(&self, at: usize, callers: u32) {
-        self.press[at].store(callers, Ordering::Relaxed);
-    }
-
-    /// The mean use of the held budget over a time.
-    fn mean(&self, span: Duration) -> f64 {
-        let (begun, mut sum, mut count) = (Instant::now(), 0, 0u32);
-        while begun.elapsed() < span {
-            sum += self.books.lock().unwrap().in_use();
-            count += 1;
-            thread::sleep(Duration::from_millis(5));
-        }
-        sum as f64 / f64::from(count)
-    }
-
-    fn end(self) -> Books {
-        self.over.store(true, Ordering::Relaxed);
-        self.threads
-            .into_iter()
-            .for_each(|thread| thread.join().unwrap());
-        Arc::try_unwrap(self.books)
-            .ok()
-            .unwrap()
-            .into_inner()
-            .unwrap()
+/// Programs that hold units of the first budget, and use the second too if asked.
+fn wants(rates: bool) -> Wants {
+    Wants {
+        each: EACH,
+        held: "tenant".into(),
+        hold: Duration::from_millis(60),
+        greedy: false,
+        rate: rates.then(|| "retries".into()),
     }
 }
 
@@ -211,10 +72,10 @@
 fn shares_follow_pressure_from_one_proxy_to_the_next() {
     let members = Members::start(spec(3, 2));
     whole(&members);
-    let callers = Callers::start(&members, false);
+    let callers = Callers::start(&members, &wants(false));
     // Five floors of two are set aside; the rest can go to one.
     for hot in [4, 1] {
-        (0..5).for_each(|at| callers.press(at, if at == hot { Callers::EACH } else { 0 }));
+        (0..5).for_each(|at| callers.press(at, if at == hot { EACH } else { 0 }));
         let begun = Instant::now();
         while callers.books.lock().unwrap().in_use() < 18 {
             assert!(
@@ -229,14 +90,14 @@
         assert!(mean > 15.0, "{mean}");
     }
     let books = callers.end();
-    assert!(books.most <= WHOLE && books.most_in_a_window() <= RATE);
+    assert!(books.most <= WHOLE && books.most_in(WINDOW) <= RATE);
 }
 
 #[test]
 fn never_more_than_the_whole_through_a_hundred_faults() {
     let mut members = Members::start(spec(3, 2));
     whole(&members);
-    let callers = Callers::start(&members, true);
+    let callers = Callers::start(&members, &wants(true));
     let mut draw = Draw(7);
     let (mut stopped, mut faults) = (BTreeSet::new(), 0);
     while faults < 100 {
@@ -268,9 +129,7 @@
                 }
                 members.heal();
             }
-            _ => (0..5).for_each(|other| {
-                callers.press(other, if other == at { Callers::EACH } else { 6 })
-            }),
+            _ => (0..5).for_each(|other| callers.press(other, if other == at { EACH } else { 6 })),
         }
         faults += 1;
         thread::sleep(Duration::from_millis(100));
@@ -279,7 +138,7 @@
         .into_iter()
         .for_each(|at| members.signal(at, "-CONT"));
     members.heal();
-    (0..5).for_each(|at| callers.press(at, Callers::EACH));
+    (0..5).for_each(|at| callers.press(at, EACH));
     whole(&members);
     // It is divided again.
     let begun = Instant::now();
@@ -292,7 +151,7 @@
         thread::sleep(Duration::from_millis(5));
     }
     let mut books = callers.end();
-    let window = books.most_in_a_window();
+    let window = books.most_in(WINDOW);
     println!(
         "most at once {} of {WHOLE}, in a window {window} of {RATE}, {} refused",
         books.most, books.refused
@@ -314,7 +173,7 @@
     }
     let now = Instant::now();
     books.used = vec![(now, now); RATE + 1];
-    assert!(books.most > WHOLE && books.most_in_a_window() > RATE);
+    assert!(books.most > WHOLE && books.most_in(WINDOW) > RATE);
 }
 
 /// A client of the class that the budget is of, up with its server's side, or refused with a time to come back.
@@ -492,3 +351,133 @@
     let now = Instant::now();
     assert!(within(&[now; TURNS + 1]) > TURNS);
 }
+
+/// The held budget's lines, under a version.
+fn held(whole: usize, version: u32) -> String {
+    format!(
+        "[[fleet.budget]]\nname = \"tenant\"\nkind = \"held\"\nwhole = {whole}\nfloor = 1\nversion = {version}\n"
+    )
+}
+
+/// The whole that is in force, if the budget is known.
+fn in_force(members: &Members) -> Option<u64> {
+    let view = members.view(0).filter(|view| view["majority"] == true)?;
+    let budgets = view["budgets"].as_array()?.clone();
+    let budget = budgets.iter().find(|budget| budget["name"] == "tenant")?;
+    budget["whole"].as_u64()
+}
+
+fn restart(members: &mut Members, callers: &Callers, at: usize, lines: &str) {
+    members.kill(at);
+    callers.books.lock().unwrap().units.remove(&at);
+    members.set_lines(at, lines);
+    members.run(at);
+}
+
+/// Files that come to one process after the other, all of them pressed: the whole lowered to a tenth while it is in use,
+/// files of one version that disagree, the budget taken out of all files and put back.
+#[test]
+fn a_whole_follows_files_that_come_one_by_one() {
+    let mut spec = spec(3, 2);
+    spec.lines = held(WHOLE, 1);
+    let mut members = Members::start(spec);
+    whole(&members);
+    let callers = Callers::start(&members, &wants(false));
+    (0..5).for_each(|at| callers.press(at, 14));
+    let use_of = |callers: &Callers| callers.books.lock().unwrap().in_use();
+    let until = |members: &Members, what: &str, done: &dyn Fn() -> bool| {
+        members.until(what, |_| done().then_some(()));
+    };
+    until(&members, "it is in use", &|| use_of(&callers) > WHOLE / 2);
+    // One file lowers it for all.
+    restart(&mut members, &callers, 4, &held(WHOLE / 10, 2));
+    members.until("the smaller one is in force", |members| {
+        (in_force(members)? == WHOLE as u64 / 10).then_some(())
+    });
+    until(&members, "what was in use has ended", &|| {
+        use_of(&callers) <= WHOLE / 10
+    });
+    callers.books.lock().unwrap().most = 0;
+    let mean = callers.mean(Duration::from_millis(500));
+    let most = callers.books.lock().unwrap().most;
+    assert!(most <= WHOLE / 10 && mean > 1.0, "{most}, {mean}");
+    // Raised by one file; another of the same version has less: nobody uses the larger.
+    restart(&mut members, &callers, 3, &held(WHOLE, 3));
+    members.until("the larger one is in force", |members| {
+        (in_force(members)? == WHOLE as u64).then_some(())
+    });
+    restart(&mut members, &callers, 2, &held(20, 3));
+    members.until("the smaller of two is in force", |members| {
+        (in_force(members)? == 20).then_some(())
+    });
+    until(&members, "what was in use has ended", &|| {
+        use_of(&callers) <= 20
+    });
+    callers.books.lock().unwrap().most = 0;
+    let mean = callers.mean(Duration::from_millis(500));
+    let most = callers.books.lock().unwrap().most;
+    assert!(most <= 20 && mean > 8.0, "{most}, {mean}");
+    // Out of all files it is forgotten, and its calls are refused; put back it is divided again.
+    for at in 0..5 {
+        callers.press(at, 0);
+        restart(&mut members, &callers, at, "");
+        whole(&members);
+    }
+    members.until("it is forgotten", |members| {
+        let view = members.view(0).filter(|view| view["majority"] == true)?;
+        view["budgets"].as_array()?.is_empty().then_some(())
+    });
+    for at in 0..5 {
+        restart(&mut members, &callers, at, &held(WHOLE, 1));
+        callers.press(at, 14);
+    }
+    whole(&members);
+    until(&members, "it is in use again", &|| {
+        use_of(&callers) > WHOLE / 2
+    });
+    let books = callers.end();
+    assert!(
+        books.most <= WHOLE,
+        "{} of {WHOLE}\n{}",
+        books.most,
+        members.log()
+    );
+}
+
+/// Forty processes that press from the moment they are there, of which 37 leave again within a second.
+#[test]
+fn forty_members_come_and_go_within_a_whole() {
+    let mut spec = spec(3, 37);
+    spec.lines = held(WHOLE, 1);
+    let members = Members::start(spec);
+    let wants = Wants {
+        each: 2,
+        ..wants(false)
+    };
+    let callers = Callers::start(&members, &wants);
+    (0..40).for_each(|at| callers.press(at, 2));
+    whole(&members);
+    members.until("it is in use", |_| {
+        (callers.books.lock().unwrap().in_use() > 30).then_some(())
+    });
+    for at in 3..40 {
+        members.signal(at, "-TERM");
+    }
+    members.until("they are gone", |members| {
+        let view = members.view(0).filter(|view| view["majority"] == true)?;
+        let live = view["members"]
+            .as_array()?
+            .iter()
+            .filter(|member| member["state"] == "live");
+        (live.count() == 3).then_some(())
+    });
+    // What they had is there for the others, whatever they held when they left.
+    (0..3).for_each(|at| callers.press(at, 2));
+    let books = callers.end();
+    assert!(
+        books.most <= WHOLE && books.most > 30,
+        "{} of {WHOLE}\n{}",
+        books.most,
+        members.log()
+    );
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 pub mod books;
+pub mod callers;
 pub mod consul;
 pub mod http;
 pub mod members;
--- a/crates/standins/src/members.rs
+++ b/crates/standins/src/members.rs
@@ -184,6 +184,12 @@
         std::fs::write(process.dir.join("operator.toml"), file + &spec.lines).unwrap();
     }
 
+    /// Gives a member a file with other last lines, for its next process.
+    pub fn set_lines(&mut self, at: usize, lines: &str) {
+        self.spec.lines = lines.into();
+        self.write_files(at);
+    }
+
     /// Starts the process of a member on the files that it has.
     pub fn run(&mut self, at: usize) {
         let child = self.spawn(at, &mut self.command(at));
