--- a/crates/storm/src/lib.rs
+++ b/crates/storm/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod explore;
 pub mod fleet;
 pub mod log;
+pub mod night;
--- /dev/null
+++ b/crates/work/src/belief.rs
@@ -0,0 +1,98 @@
+//! What one proxy goes by: which machines it sends nothing to, and what it confirms of them.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::orders::Orders;
+use crate::planner::Report;
+use crate::words::{Name, Number, Phase};
+
+/// The list of what is out as one proxy has heard it. It is kept on disk, and a new process goes by it from before its
+/// first client until it hears a newer one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Belief {
+    /// How far the log was that it was heard from.
+    at: Number,
+    /// Machines of orders: the version of the place, and whether the order closes it.
+    places: BTreeMap<Name, (Number, bool)>,
+    /// Operators' own words at this proxy, which are stronger: open or closed.
+    words: BTreeMap<Name, bool>,
+}
+
+/// What a proxy is to do now about a machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// Nothing new goes there, and what is there is moved.
+    Close(Name),
+    Open(Name),
+}
+
+impl Belief {
+    /// What the log says of all machines of orders.
+    pub fn list(orders: &Orders) -> BTreeMap<Name, (Number, bool)> {
+        let closes =
+            |phase: &Phase| matches!(phase, Phase::Leaving | Phase::Empty | Phase::Failed(_));
+        let each = orders.orders().values().flat_map(|(_, places)| places);
+        each.map(|(name, place)| (name.clone(), (place.version, closes(&place.phase))))
+            .collect()
+    }
+
+    /// Takes a list that was true when the log was as far as `at`; an older one than is known is passed over.
+    pub fn hear(&mut self, at: Number, list: BTreeMap<Name, (Number, bool)>) -> Vec<Turn> {
+        if at < self.at {
+            return Vec::new();
+        }
+        self.at = at;
+        self.change(|belief| belief.places = list)
+    }
+
+    /// An operator's word on a machine at this proxy; `None` takes it back.
+    pub fn word(&mut self, machine: &str, open: Option<bool>) -> Vec<Turn> {
+        self.change(|belief| match open {
+            Some(open) => drop(belief.words.insert(machine.into(), open)),
+            None => drop(belief.words.remove(machine)),
+        })
+    }
+
+    pub fn closed(&self, machine: &str) -> bool {
+        match self.words.get(machine) {
+            Some(open) => !open,
+            None => self.places.get(machine).is_some_and(|(_, closed)| *closed),
+        }
+    }
+
+    /// What this proxy confirms of a machine; none of one that is in no order.
+    pub fn report(&self, machine: &str, clients: u64, warm: bool) -> Option<Report> {
+        let (version, _) = self.places.get(machine)?;
+        Some(Report {
+            version: *version,
+            clients,
+            closed: self.closed(machine),
+            warm,
+        })
+    }
+
+    /// Machines of orders that it has heard of.
+    pub fn machines(&self) -> impl Iterator<Item = &Name> {
+        self.places.keys()
+    }
+
+    fn change(&mut self, change: impl FnOnce(&mut Self)) -> Vec<Turn> {
+        let before = self.clone();
+        change(self);
+        let names = before.places.keys().chain(self.places.keys());
+        let mut names: Vec<&Name> = names
+            .chain(before.words.keys())
+            .chain(self.words.keys())
+            .collect();
+        names.sort();
+        names.dedup();
+        let turn = |name: &Name| match (before.closed(name), self.closed(name)) {
+            (false, true) => Some(Turn::Close(name.clone())),
+            (true, false) => Some(Turn::Open(name.clone())),
+            _ => None,
+        };
+        names.into_iter().filter_map(turn).collect()
+    }
+}
