Waiting for an exchange works where a proxy has no more than its floor, and ends

A test on three processes showed that a client beyond the floor was refused at once after all: the wait counted only while a share was leased.

--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -475,9 +475,7 @@
 
     /// How long after its coming a request may wait for a part that has no room for it.
     pub fn part_wait(&self, matter: Matter) -> Secs {
-        let part = self.parts.get(&matter).map(|(part, _)| part);
-        part.filter(|part| self.now < part.until)
-            .map_or(0.0, |part| part.wait)
+        self.parts.get(&matter).map_or(0.0, |(part, _)| part.wait)
     }
 
     /// A larger part would have been used.
--- a/crates/fleet/src/budget/meter.rs
+++ b/crates/fleet/src/budget/meter.rs
@@ -27,12 +27,12 @@
     pub after: u64,
     /// Of a rate: the span within which it is counted, which allows for clocks that run fast.
     pub span: Millis,
-    /// More may come with an exchange: what is needed has not been refused by the leader lately.
+    /// More may come with an exchange: no need has been left open for as long as one takes.
     pub hopeful: bool,
 }
 
-/// After so many renewals that brought less than was needed there is no more to be had.
-const ROUNDS: u32 = 3;
+/// Where an exchange has brought nothing, the next one is hoped for after so many times as long.
+const AGAIN: Millis = 10;
 
 /// A budget that is counted elsewhere: what was told there, and what was heard back.
 #[derive(Clone, Debug, Default)]
@@ -53,8 +53,8 @@
     /// From then on the floor may be used: what a process before this one used of a rate is forgotten.
     floor_from: Millis,
     share: Share,
-    /// Renewals in a row that brought less than was needed.
-    short: u32,
+    /// When a renewal was answered with less than was needed, until more comes.
+    short: Option<Millis>,
     /// What the leader wishes it to go down to.
     target: Option<u64>,
     /// The least that was said to be used at most, and the version of the share that this stands on.
@@ -145,7 +145,7 @@
                 def: def.clone(),
                 floor_from: begun,
                 share: Share::default(),
-                short: 0,
+                short: None,
                 target: None,
                 lower: None,
                 held: 0,
@@ -200,11 +200,15 @@
 
     /// What whoever counts elsewhere is to be told: a number, and the part. `end` is the end of the lease, as far as
     /// shares count by it.
-    pub fn parts(&mut self, now: Millis, end: Millis) -> Vec<(Name, u64, Part)> {
+    pub fn parts(&mut self, now: Millis, end: Millis, limits: &Limits) -> Vec<(Name, u64, Part)> {
         let mut parts = Vec::new();
         for (name, meter) in &mut self.meters {
             let (floor, usable, window) = (meter.floor(now), meter.usable(), meter.def.window);
-            let hopeful = now < end && meter.short < ROUNDS && meter.target.is_none();
+            let open = meter
+                .short
+                .is_some_and(|since| now >= since + limits.exchange);
+            let all = meter.share.units >= meter.def.pool();
+            let hopeful = now < end && !open && !all && meter.target.is_none();
             let Some(outside) = &mut meter.outside else {
                 continue;
             };
@@ -324,13 +328,13 @@
     }
 
     /// The leader has answered a renewal: whether what was needed has come with it.
-    pub fn answered(&mut self) {
+    pub fn answered(&mut self, now: Millis, limits: &Limits) {
         for (name, meter) in &mut self.meters {
             let wants = self.told.get(name).map_or(0, |told| told.wants);
-            meter.short = if wants > meter.share.units {
-                meter.short + 1
-            } else {
-                0
+            meter.short = match meter.short {
+                None if wants > meter.share.units => Some(now),
+                Some(since) if now >= since + AGAIN * limits.exchange => None,
+                known => known,
             };
         }
     }
@@ -347,7 +351,11 @@
         self.have = version;
         for (name, meter) in &mut self.meters {
             let told = shares.iter().find(|(budget, _)| budget == name);
-            meter.share = told.map(|(_, share)| *share).unwrap_or_default();
+            let share = told.map(|(_, share)| *share).unwrap_or_default();
+            if share.units > meter.share.units {
+                meter.short = None;
+            }
+            meter.share = share;
         }
     }
 
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -176,7 +176,7 @@
     /// What whoever counts budgets elsewhere in this process is to be told.
     pub fn parts(&mut self, now: Millis, limits: &Limits) -> Vec<(Name, u64, Part)> {
         let end = if self.leaves { 0 } else { self.end(limits) };
-        self.meters.parts(now, end)
+        self.meters.parts(now, end, limits)
     }
 
     pub fn heard(
@@ -542,7 +542,7 @@
                     self.meters.lower(lower);
                     self.term = *term;
                 }
-                self.meters.answered();
+                self.meters.answered(now, limits);
                 self.renewed(*at, now, held, give_up, limits, events);
             }
             (What::Renew, Told::Gone) => {
--- a/crates/lab/src/model/budgets.rs
+++ b/crates/lab/src/model/budgets.rs
@@ -198,7 +198,7 @@
                 member.known = mine;
             }
             member.meters.lower(&self.divider.lower(member.session));
-            for (name, word, part) in member.meters.parts(at, FOR_EVER) {
+            for (name, word, part) in member.meters.parts(at, FOR_EVER, &limits) {
                 let of = self.divided.iter().find(|(_, def)| def.name == name);
                 let Some((budget, _)) = of else { continue };
                 member.words.insert(name, word);
--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -481,3 +481,27 @@
         members.log()
     );
 }
+
+/// Nobody presses, and the fleet has room: a client beyond its proxy's part waits for one exchange and is served, not
+/// refused, until the whole is out.
+#[test]
+fn a_client_that_one_exchange_serves_is_not_refused() {
+    let mut spec = spec(3, 0);
+    spec.lines = "[[fleet.budget]]\nname = \"class:watch\"\nof = \"class\"\nkind = \"held\"\nwhole = 12\nfloor = 1\n".into();
+    let members = Members::start(spec);
+    whole(&members);
+    let (mut id, mut up) = (0x51c3_a9be_00d2_0000, Vec::new());
+    for number in 0..10 {
+        let served = client(&members, 0, &mut id);
+        up.push(served.unwrap_or_else(|| panic!("client {number} was refused\n{}", members.log())));
+    }
+    // The rest are the floors of the two others. After a few answers that bring nothing it is refused at once.
+    members.until("refused at once", |members| {
+        let mut client = Peer::connect(members.addr(0));
+        id += 1;
+        let asked = Instant::now();
+        client.say(&format!("OPEN {id:016x} 7f3a9c21e0b4d655 c=watch,d=2000"));
+        assert!(client.hear().starts_with("BUSY "));
+        (asked.elapsed() < Duration::from_millis(100)).then_some(())
+    });
+}
