--- a/crates/storm/src/night.rs
+++ b/crates/storm/src/night.rs
@@ -64,6 +64,23 @@
     }
 }
 
+/// Work on these machines, with time enough for each phase.
+fn kernel(machines: &[Name], bounds: Bounds) -> Order {
+    Order {
+        name: "kernel".into(),
+        machines: machines.iter().cloned().collect(),
+        bounds,
+        spans: Spans {
+            leave: 400,
+            work: 400,
+            back: 400,
+        },
+        not_before: 0,
+        paused: false,
+        cancelled: false,
+    }
+}
+
 impl Night {
     pub fn new(seed: u64, planted: Planted) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -98,20 +115,9 @@
         let all: Vec<Name> = machines.keys().cloned().collect();
         let half = all.len() / 2;
         for part in [&all[..half], &all[half..]] {
-            let order = Order {
-                name: "kernel".into(),
-                machines: part.iter().cloned().collect(),
-                bounds: loose,
-                spans: Spans {
-                    leave: 400,
-                    work: 400,
-                    back: 400,
-                },
-                not_before: 0,
-                paused: false,
-                cancelled: false,
-            };
-            orders.apply(Change::Plan(order)).unwrap();
+            orders
+                .apply(Change::Plan(kernel(part, loose)))
+                .expect("sound");
         }
         let proxies = (0..rng.random_range(2..6)).map(|at| (format!("p-{at}"), Proxy::default()));
         Self {
@@ -157,20 +163,9 @@
         let mut orders = Orders::default();
         orders.apply(Change::Machines(all)).expect("sound");
         for part in names.chunks(each) {
-            let order = Order {
-                name: "kernel".into(),
-                machines: part.iter().cloned().collect(),
-                bounds,
-                spans: Spans {
-                    leave: 400,
-                    work: 400,
-                    back: 400,
-                },
-                not_before: 0,
-                paused: false,
-                cancelled: false,
-            };
-            orders.apply(Change::Plan(order)).expect("sound");
+            orders
+                .apply(Change::Plan(kernel(part, bounds)))
+                .expect("sound");
         }
         (night.orders, night.bounds, night.calm) = (orders, bounds, true);
         night.proxies = (0..proxies)
