Mended on a last read: one count of live members, named limits, nothing paid when off

'So many members are live' stood ten times in tests and bench: members::live. The span after which a client waits for an exchange again is a limit (hopeless). The module looks for cold servers that its part keeps it from only where there is a part. crates/work is crates/workorders: its path read like a machine's.

--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -628,11 +628,13 @@
 
     /// Whether this balancer's part of a whole keeps it from a cold server.
     fn kept_from_cold(&self, key: u64) -> bool {
-        let cold =
-            |server: &Server| server.up() && server.cold_rest(self.state.now, &self.set) > 0.0;
+        if !self.state.has_whole(Matter::Cold) {
+            return false;
+        }
+        let cold = |s: &Server| s.up() && s.cold_rest(self.state.now, &self.set) > 0.0;
         let first = self.state.first_of(key, CANDIDATES);
         let mut servers = first.map(|(_, id)| (id, &self.state.servers[&id]));
-        self.state.has_whole(Matter::Cold) && servers.any(|(id, s)| cold(s) && !self.open(id, s))
+        servers.any(|(id, s)| cold(s) && !self.open(id, s))
     }
 
     fn ejected(&self, server: &Server) -> bool {
--- a/crates/fleet/src/budget/meter.rs
+++ b/crates/fleet/src/budget/meter.rs
@@ -31,9 +31,6 @@
     pub hopeful: bool,
 }
 
-/// Where an exchange has brought nothing, the next one is hoped for after so many times as long.
-const AGAIN: Millis = 10;
-
 /// A budget that is counted elsewhere: what was told there, and what was heard back.
 #[derive(Clone, Debug, Default)]
 struct Outside {
@@ -333,7 +330,7 @@
             let wants = self.told.get(name).map_or(0, |told| told.wants);
             meter.short = match meter.short {
                 None if wants > meter.share.units => Some(now),
-                Some(since) if now >= since + AGAIN * limits.exchange => None,
+                Some(since) if now >= since + limits.hopeless => None,
                 known => known,
             };
         }
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -25,6 +25,8 @@
     pub linger: Millis,
     /// What lacks a unit of a budget waits so long at most for an exchange that may bring it.
     pub exchange: Millis,
+    /// Where an exchange has brought nothing, nobody waits for another one so soon.
+    pub hopeless: Millis,
     /// Calls that wait for a unit of a budget; more are refused at once.
     pub waits: usize,
     /// Asks that wait for the log at a leader.
@@ -68,6 +70,7 @@
             needs: 256,
             linger: 1000,
             exchange: 300,
+            hopeless: 3000,
             waits: 1024,
             asks: 8192,
             snapshot_every: 2000,
--- a/crates/proxy/benches/duties.rs
+++ b/crates/proxy/benches/duties.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use violetwind_standins::callers::{Callers, Wants};
-use violetwind_standins::members::{Members, Spec, name};
+use violetwind_standins::members::{Members, Spec, live, name};
 use violetwind_standins::mono_ms;
 use violetwind_standins::{Peer, books};
 
@@ -198,9 +198,7 @@
     let members = Members::start(spec);
     members.until("all are there", |members| {
         let view = members.view(0)?;
-        let live = view["members"].as_array()?;
-        let live = live.iter().filter(|member| member["state"] == "live");
-        (live.count() == count).then_some(())
+        (live(&view) == Some(count)).then_some(())
     });
     let callers = Callers::start(
         &members,
@@ -303,11 +301,7 @@
             members.run(holder);
             members.until("it is back", |members| {
                 let view = members.view(holder)?;
-                let live = view["members"]
-                    .as_array()?
-                    .iter()
-                    .filter(|member| member["state"] == "live");
-                (live.count() == voters).then_some(())
+                (live(&view) == Some(voters)).then_some(())
             });
         }
         shown(&format!("{voters} voters, a planned hand-over"), handed);
@@ -321,11 +315,7 @@
             members.run(holder);
             members.until("it is back", |members| {
                 let view = members.view(holder)?;
-                let live = view["members"]
-                    .as_array()?
-                    .iter()
-                    .filter(|member| member["state"] == "live");
-                (live.count() == voters).then_some(())
+                (live(&view) == Some(voters)).then_some(())
             });
         }
         shown(&format!("{voters} voters, an unplanned one"), unplanned);
--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -8,7 +8,7 @@
 
 use violetwind_standins::Peer;
 use violetwind_standins::callers::{Callers, Wants};
-use violetwind_standins::members::{Members, Spec};
+use violetwind_standins::members::{Members, Spec, live};
 use violetwind_standins::relay::Way;
 
 const WHOLE: usize = 60;
@@ -47,11 +47,7 @@
 fn whole(members: &Members) {
     members.until("the fleet is whole", |members| {
         let view = members.view(0).filter(|view| view["majority"] == true)?;
-        let live = view["members"]
-            .as_array()?
-            .iter()
-            .filter(|member| member["state"] == "live");
-        (live.count() == members.count()).then_some(())
+        (live(&view) == Some(members.count())).then_some(())
     });
 }
 
@@ -465,11 +461,7 @@
     }
     members.until("they are gone", |members| {
         let view = members.view(0).filter(|view| view["majority"] == true)?;
-        let live = view["members"]
-            .as_array()?
-            .iter()
-            .filter(|member| member["state"] == "live");
-        (live.count() == 3).then_some(())
+        (live(&view) == Some(3)).then_some(())
     });
     // What they had is there for the others, whatever they held when they left.
     (0..3).for_each(|at| callers.press(at, 2));
--- a/crates/proxy/tests/duties.rs
+++ b/crates/proxy/tests/duties.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use violetwind_standins::books::{self, Record, What};
-use violetwind_standins::members::{Members, Spec, name};
+use violetwind_standins::members::{Members, Spec, live, name};
 use violetwind_standins::mono_ms;
 use violetwind_standins::receiver::{Receiver, Work};
 use violetwind_standins::relay::Way;
@@ -307,11 +307,7 @@
             let view = members
                 .view(holder)
                 .filter(|view| view["majority"] == true)?;
-            let live = view["members"]
-                .as_array()?
-                .iter()
-                .filter(|member| member["state"] == "live");
-            (live.count() == 5).then_some(())
+            (live(&view) == Some(5)).then_some(())
         });
         sound(&members, &[]);
     }
@@ -377,11 +373,7 @@
     sound(&members, &[]);
     members.until("all are live", |members| {
         let view = members.view(0)?;
-        let live = view["members"]
-            .as_array()?
-            .iter()
-            .filter(|member| member["state"] == "live");
-        (live.count() == 4).then_some(())
+        (live(&view) == Some(4)).then_some(())
     });
     let begun = mono_ms();
     for at in 0..4 {
@@ -422,11 +414,7 @@
     };
     members.until("it is back", |members| {
         let view = members.view(victim)?;
-        let live = view["members"]
-            .as_array()?
-            .iter()
-            .filter(|member| member["state"] == "live");
-        (live.count() == 3).then_some(())
+        (live(&view) == Some(3)).then_some(())
     });
     (0..3).for_each(|_| moved(&members));
     members.kill(victim);
@@ -499,11 +487,7 @@
     members.run_without_room(full, 8);
     members.until("it is back", |members| {
         let view = members.view(holder)?;
-        let live = view["members"]
-            .as_array()?
-            .iter()
-            .filter(|member| member["state"] == "live");
-        (live.count() == 3).then_some(())
+        (live(&view) == Some(3)).then_some(())
     });
     let mut client = violetwind_standins::Peer::connect(members.addr(full));
     client.say("OPEN 51c3a9be00d24f17 7f3a9c21e0b4d655 c=watch,d=2000");
@@ -595,11 +579,7 @@
     drop(silent);
     members.until("the fleet is whole", |members| {
         let view = members.view(holder)?;
-        let live = view["members"]
-            .as_array()?
-            .iter()
-            .filter(|member| member["state"] == "live");
-        (live.count() == 3).then_some(())
+        (live(&view) == Some(3)).then_some(())
     });
     // It was held by the same one all the while.
     assert_eq!(members.held("export", 0).0, holder);
--- a/crates/standins/src/members.rs
+++ b/crates/standins/src/members.rs
@@ -60,6 +60,12 @@
         }
 }
 
+/// How many members a view calls live.
+pub fn live(view: &Value) -> Option<usize> {
+    let members = view["members"].as_array()?.iter();
+    Some(members.filter(|member| member["state"] == "live").count())
+}
+
 impl Members {
     /// All of them started; nothing is waited for.
     pub fn start(spec: Spec) -> Self {
--- a/crates/storm/examples/nights.rs
+++ b/crates/storm/examples/nights.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use violetwind_storm::night::Night;
-use violetwind_work::Bounds;
+use violetwind_workorders::Bounds;
 
 fn main() {
     println!(
--- a/crates/storm/src/night.rs
+++ b/crates/storm/src/night.rs
@@ -5,7 +5,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use violetwind_work::*;
+use violetwind_workorders::*;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Planted {
@@ -64,21 +64,12 @@
     }
 }
 
-/// Work on these machines, with time enough for each phase.
+/// The same with phases that last longer than a stalled conductor.
 fn kernel(machines: &[Name], bounds: Bounds) -> Order {
-    Order {
-        name: "kernel".into(),
-        machines: machines.iter().cloned().collect(),
-        bounds,
-        spans: Spans {
-            leave: 400,
-            work: 400,
-            back: 400,
-        },
-        not_before: 0,
-        paused: false,
-        cancelled: false,
-    }
+    let names: Vec<&str> = machines.iter().map(String::as_str).collect();
+    let mut order = order(&names, bounds);
+    (order.spans.leave, order.spans.work, order.spans.back) = (400, 400, 400);
+    order
 }
 
 impl Night {
@@ -428,3 +419,76 @@
         }
     }
 }
+
+/// Work on these machines, with time enough for each phase.
+pub fn order(machines: &[&str], bounds: Bounds) -> Order {
+    Order {
+        name: "kernel".into(),
+        machines: machines.iter().map(|name| (*name).into()).collect(),
+        bounds,
+        spans: Spans {
+            leave: 100,
+            work: 100,
+            back: 100,
+        },
+        not_before: 0,
+        paused: false,
+        cancelled: false,
+    }
+}
+
+/// Bounds that keep nothing in.
+pub const WIDE: Bounds = Bounds {
+    most: 9,
+    zone_most: 9,
+    floor: 0,
+    spare: false,
+};
+
+/// Machines `m-0` on, each of a zone, a kind, a room, and maybe a voter's.
+pub fn fleet(machines: &[(&str, usize, u64, bool)]) -> Orders {
+    let machines = machines
+        .iter()
+        .enumerate()
+        .map(|(at, (zone, kind, room, votes))| {
+            let machine = Machine {
+                zone: (*zone).into(),
+                servers: vec![server(at, *kind, *room)],
+                proxy: votes.then(|| (format!("p-{at}"), true)),
+            };
+            (format!("m-{at}"), machine)
+        });
+    let mut orders = Orders::default();
+    orders.apply(Change::Machines(machines.collect())).unwrap();
+    orders
+}
+
+/// The order, the version and the phase of a machine.
+pub fn place(orders: &Orders, name: &str) -> (Number, Number, Phase) {
+    let each = orders.orders().iter().find_map(|(number, (_, places))| {
+        places
+            .get(name)
+            .map(|place| (*number, place.version, place.phase.clone()))
+    });
+    each.expect("in an order")
+}
+
+/// A step of a machine upon the version that it has.
+///
+/// # Errors
+/// What the log says against it.
+pub fn step(
+    orders: &mut Orders,
+    name: &str,
+    step: Step,
+    fence: Option<Number>,
+) -> Result<(), Refused> {
+    let (order, version, _) = place(orders, name);
+    orders.apply(Change::Step {
+        order,
+        machine: name.into(),
+        version,
+        step,
+        fence,
+    })
+}
--- a/crates/work/tests/nights.rs
+++ b/crates/workorders/tests/nights.rs
@@ -2,16 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use violetwind_storm::night::{Night, Planted};
-use violetwind_work::*;
-
-fn server(machine: usize, kind: usize, room: u64) -> Server {
-    Server {
-        name: format!("s-{machine}"),
-        kind: format!("k-{kind}"),
-        room,
-    }
-}
+use violetwind_storm::night::{Night, Planted, WIDE, fleet, order, place, step};
+use violetwind_workorders::*;
 
 /// What is left when nothing more can go: machines whose going the bounds never allow.
 fn left(night: &Night) -> Vec<(Name, Phase)> {
@@ -74,67 +66,6 @@
     }
 }
 
-fn order(machines: &[&str], bounds: Bounds) -> Order {
-    Order {
-        name: "kernel".into(),
-        machines: machines.iter().map(|name| (*name).into()).collect(),
-        bounds,
-        spans: Spans {
-            leave: 100,
-            work: 100,
-            back: 100,
-        },
-        not_before: 0,
-        paused: false,
-        cancelled: false,
-    }
-}
-
-const WIDE: Bounds = Bounds {
-    most: 9,
-    zone_most: 9,
-    floor: 0,
-    spare: false,
-};
-
-/// Machines `m-0` on, each of a zone, a kind, a room, and maybe a voter's.
-fn fleet(machines: &[(&str, usize, u64, bool)]) -> Orders {
-    let machines = machines
-        .iter()
-        .enumerate()
-        .map(|(at, (zone, kind, room, votes))| {
-            let machine = Machine {
-                zone: (*zone).into(),
-                servers: vec![server(at, *kind, *room)],
-                proxy: votes.then(|| (format!("p-{at}"), true)),
-            };
-            (format!("m-{at}"), machine)
-        });
-    let mut orders = Orders::default();
-    orders.apply(Change::Machines(machines.collect())).unwrap();
-    orders
-}
-
-fn place(orders: &Orders, name: &str) -> (Number, Number, Phase) {
-    let each = orders.orders().iter().find_map(|(number, (_, places))| {
-        places
-            .get(name)
-            .map(|place| (*number, place.version, place.phase.clone()))
-    });
-    each.expect("in an order")
-}
-
-fn step(orders: &mut Orders, name: &str, step: Step, fence: Option<Number>) -> Result<(), Refused> {
-    let (order, version, _) = place(orders, name);
-    orders.apply(Change::Step {
-        order,
-        machine: name.into(),
-        version,
-        step,
-        fence,
-    })
-}
-
 /// Each bound refuses what would pass it, and says which.
 #[test]
 fn the_log_refuses_what_breaks_a_bound_whoever_asks() {
