--- a/crates/proxy/tests/duties.rs
+++ b/crates/proxy/tests/duties.rs
@@ -463,7 +463,9 @@
         (members.logged(victim, "byte ") && members.logged(victim, "nothing is guessed"))
             .then_some(())
     });
-    assert!(members.call(victim, "HEALTH").unwrap().starts_with("200 "));
+    members.until("it serves", |members| {
+        (members.call(victim, "HEALTH")?.starts_with("200 ")).then_some(())
+    });
     assert!(members.call(victim, "FLEET").unwrap().starts_with("400 "));
     // Emptied: a stranger again.
     members.kill(victim);
