--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,12 +13,14 @@
 use tracing::{debug, error, info, trace, warn};
 use violetwind_balancer::Balancer;
 use violetwind_balancer::api::{
-    Action, Allowance, Entry, Event, ListKind, Outcome, Report, RequestId, ServerId, Settings,
-    Status, Taking,
+    Action, Allowance, Entry, Event, ListKind, Outcome, Report, RequestId, Secs, ServerId,
+    Settings, Status, Taking,
 };
 use violetwind_catalogue::{Instance, Telling, Word};
 use violetwind_common::{Names, Row, server_id};
-use violetwind_service::{Bans, Change, Kept, Millis, taking};
+use violetwind_service::{Bans, Change, Kept, Machines, Millis, Outs, taking};
+
+mod machines;
 
 use crate::clock::Clock;
 use crate::limits::Limits;
@@ -70,6 +72,8 @@
     /// The servers that operators keep out, and whether they have emptied this proxy.
     pub bans: Bans,
     pub left: bool,
+    /// Which machine each server is on, for orders that take machines out.
+    pub machines: Machines,
 }
 
 pub struct Engine<P> {
@@ -90,6 +94,8 @@
     told: HashMap<ServerId, Row>,
     service: violetwind_service::Limits,
     bans: Bans,
+    outs: Outs,
+    cold_for: Secs,
     /// Since when operators empty the proxy, what it takes, and when that changes.
     left_at: Option<Instant>,
     taking: Taking,
@@ -109,6 +115,8 @@
 impl<P: Probe> Engine<P> {
     pub fn new(setup: Setup, clock: Clock, probes: P) -> Self {
         Self {
+            outs: Outs::new(setup.machines),
+            cold_for: setup.settings.cold_for,
             balancer: Balancer::new(setup.settings, setup.seed),
             names: setup.names,
             limits: setup.limits,
@@ -292,7 +300,7 @@
             Notice::Standing(id, uid, orders) => {
                 let server = server_id(&uid);
                 let address = self.addresses.get(&server);
-                let order = match address.filter(|_| !self.bans.is_out(&uid)) {
+                let order = match address.filter(|_| !self.kept_out(&uid)) {
                     Some(&(_, endpoint)) => Order::Send {
                         server,
                         endpoint,
@@ -399,6 +407,7 @@
             }
             Notice::Settings(settings, names) => {
                 self.names = names;
+                self.cold_for = settings.cold_for;
                 self.handle(Event::Settings(settings));
                 self.tell_all_again();
             }
@@ -406,6 +415,11 @@
             Notice::Operator(change, binding, reply) => {
                 drop(reply.send(self.change(change, binding)));
             }
+            Notice::Out(machines, reply) => {
+                self.out(machines);
+                let _ = reply.send(());
+            }
+            Notice::Look(reply) => drop(reply.send(self.look())),
             Notice::Health(reply) => drop(reply.send(self.addresses.len())),
         }
     }
@@ -422,8 +436,18 @@
             {
                 return Reply::Unknown;
             }
-            Change::Offline(uid) => self.bans.put_out(uid, now, &self.service),
-            Change::Online(uid) => self.bans.call_back(uid, now, &self.service),
+            Change::Offline(uid) => {
+                self.outs.word(uid, false);
+                self.bans.put_out(uid, now, &self.service)
+            }
+            Change::Online(uid) => {
+                let opened = self.outs.word(uid, true);
+                self.outs.note(uid, now, &self.service);
+                match self.bans.call_back(uid, now, &self.service) {
+                    Kept::Same if opened => Kept::Changed,
+                    kept => kept,
+                }
+            }
         };
         if let (Kept::Changed, Change::Offline(uid) | Change::Online(uid)) = (kept, &change) {
             self.tell_again(uid);
@@ -461,12 +485,9 @@
         let up = |status| matches!(status, Status::Up | Status::Suspected);
         let told = self.told.iter().filter(|(_, row)| up(row.status));
         let uids = told.filter_map(|(server, _)| self.addresses.get(server));
-        let mut used = uids.filter(|(uid, _)| !self.bans.is_out(uid));
-        if self.bans.is_out(uid) && used.next().is_none() {
-            warn!(
-                uid,
-                "operators have put the last server out: nothing is served"
-            );
+        let mut used = uids.filter(|(uid, _)| !self.kept_out(uid));
+        if self.kept_out(uid) && used.next().is_none() {
+            warn!(uid, "the last server has been put out: nothing is served");
         }
     }
 
@@ -485,11 +506,11 @@
 
     /// Puts the operators' word over what a list says.
     fn ruled(&self, uid: &str, row: &mut Row) {
-        if self.bans.is_out(uid) && matches!(row.status, Status::Up | Status::Suspected) {
+        if self.kept_out(uid) && matches!(row.status, Status::Up | Status::Suspected) {
             row.status = Status::Draining;
         }
         let listed = row.born.map(|born| (born * 1e3) as Millis);
-        let born = self.bans.born(uid, listed);
+        let born = self.outs.born(uid, self.bans.born(uid, listed));
         if born != listed {
             row.born = born.map(|ms| ms as f64 / 1e3);
         }
@@ -599,6 +620,7 @@
             }
             let mut row = listed.row.clone();
             self.told.insert(server, listed.row);
+            self.note_out(&listed.uid);
             self.ruled(&listed.uid, &mut row);
             entries.push(row.entry(&self.names));
             self.note_status(server, row.status);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,4 +14,4 @@
 pub use clock::Clock;
 pub use engine::{Engine, Probe, Setup, catalogue_row};
 pub use limits::Limits;
-pub use words::{Binding, Listed, Notice, Order, Reply};
+pub use words::{Binding, Listed, Looked, Notice, Order, Reply, Seen, SeenServer};
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -1,5 +1,6 @@
 //! What the engine hears and says, in words that are no protocol's.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -62,10 +63,43 @@
     Operator(Change, Binding, oneshot::Sender<Reply>),
     /// Parts of what several proxies share, each until a moment; answered with what is used of all of them.
     Allowances(Vec<(Matter, Allowance, Instant)>, oneshot::Sender<Vec<Use>>),
+    /// The machines that orders have out from now on, with the servers on them; answered once that is in force.
+    Out(BTreeMap<String, BTreeSet<String>>, oneshot::Sender<()>),
+    /// Answered with what is known here of machines.
+    Look(oneshot::Sender<Looked>),
     /// Answered as soon as the engine comes to it: how many servers it knows.
     Health(oneshot::Sender<usize>),
 }
 
+/// Machines as this proxy knows them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Looked {
+    pub machines: BTreeMap<String, Seen>,
+    /// Connections and requests of all clients.
+    pub connections: usize,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seen {
+    pub zone: Option<String>,
+    pub servers: Vec<SeenServer>,
+    /// Connections there, and attempts that are on their way.
+    pub clients: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeenServer {
+    pub uid: String,
+    pub kind: Option<String>,
+    pub rating: Option<f64>,
+    /// Listed as up, whatever operators and orders say.
+    pub up: bool,
+    pub warm: bool,
+    /// Kept out by an operator, or in use by an operator's word though an order has it out.
+    pub banned: bool,
+    pub opened: bool,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Binding {
     IfNamed,
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -113,6 +113,7 @@
             service: violetwind_service::Limits::default(),
             bans: Bans::default(),
             left: false,
+            machines: violetwind_service::Machines::default(),
         };
         let mut engine = Engine::new(setup, Clock::at_unix(start, START), NoProbes);
         let rows = uids.iter().map(|uid| row(uid, Status::Up, None)).collect();
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -89,6 +89,7 @@
             service: violetwind_service::Limits::default(),
             bans: violetwind_service::Bans::default(),
             left: false,
+            machines: violetwind_service::Machines::default(),
         };
         let clock = Clock::at_unix(start, 1.7e9);
         let mut world = Self {
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -83,6 +83,8 @@
     ask_at: Millis,
     ticked: Millis,
     quits: Option<Millis>,
+    /// It leaves once the log has it that this process serves nobody, if that comes soon.
+    waits: bool,
     left: bool,
     no_session: Option<Why>,
     /// That nobody leads has been told.
@@ -125,6 +127,7 @@
             ask_at: now,
             ticked: now,
             quits: None,
+            waits: false,
             left: false,
             no_session: None,
             alone: false,
@@ -138,6 +141,10 @@
             .map(|session| session.id)
     }
 
+    pub fn set_waits(&mut self, waits: bool) {
+        self.waits = waits;
+    }
+
     pub fn left(&self) -> bool {
         self.left
     }
@@ -308,7 +315,8 @@
         }
         self.press(now, limits);
         self.holds.retain(|_, hold| now < hold.until);
-        if self.quits.is_some_and(|until| now >= until) {
+        let waits = if self.waits { limits.off } else { 0 };
+        if self.quits.is_some_and(|until| now >= until + waits) {
             self.left = true;
         }
         let since = now.saturating_sub(self.answered);
@@ -374,7 +382,7 @@
         let (what, ask) = match (session, release) {
             // Programs that work on something have until they have ended, or were told to.
             (Some(session), _) if may_go && !session.lapsed => {
-                let (what, ask) = match self.retired || self.budgets.is_empty() {
+                let (what, ask) = match self.retired || (self.budgets.is_empty() && !self.waits) {
                     true => {
                         // From here on no share counts; then what is in use is what is said.
                         if !std::mem::replace(&mut self.leaves, true) {
@@ -595,6 +603,9 @@
         if !self.retired {
             return true;
         }
+        if self.waits {
+            return false;
+        }
         let soon = self.quits.is_some_and(|until| now + limits.again >= until);
         let held = |name: &Name| {
             let def = self.budgets.iter().find(|def| def.name == *name);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,8 @@
 //! - *Fencing*: every holding has a number larger than all before it, for the life of the fleet's log.
 //! - *Given Up In Time*: who can't renew stops by itself a margin before the lease ends.
 //! - *Held Again*: with a majority a duty of a dead holder is held again within lease and election time.
+//! - *Never Too Many Out*, *Empty Means Empty*: orders for work ([`work`]) change in the log alone; a step that stands on
+//!   everybody's word names the roster that was asked.
 //! - *Unanimous Formation*: a fleet begins when every voter has the same list of directories on disk; who comes
 //!   with another directory is a stranger until it is let in.
 
@@ -28,6 +30,7 @@
 mod member;
 mod state;
 mod words;
+pub mod work;
 
 pub use events::{Event, Why};
 pub use fencing::Gate;
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -29,6 +29,13 @@
     pub hopeless: Millis,
     /// Calls that wait for a unit of a budget; more are refused at once.
     pub waits: usize,
+    /// Where it takes part in work on machines it waits so much longer until it serves nobody and the log has that:
+    /// who ends otherwise has to confirm on its return, or be called gone.
+    pub off: Millis,
+    /// While there are orders for work, a member asks so often what is out; otherwise as often as it renews.
+    pub work: Millis,
+    /// Machines that the sources have not told for so long are no part of the fleet any more.
+    pub forgotten: Millis,
     /// Asks that wait for the log at a leader.
     pub asks: usize,
     /// Entries between two snapshots.
@@ -72,6 +79,9 @@
             exchange: 300,
             hopeless: 3000,
             waits: 1024,
+            off: 5 * lease,
+            work: lease / 10,
+            forgotten: 60_000,
             asks: 8192,
             snapshot_every: 2000,
             log,
--- a/crates/fleet/src/member/leader.rs
+++ b/crates/fleet/src/member/leader.rs
@@ -22,7 +22,28 @@
             });
             return self.reply(from, number, Told::Later("too many ask".into()));
         }
+        if let Some(told) = self.asked_work(&from, number, &ask) {
+            return self.reply(from, number, told);
+        }
+        let of_work = match &ask {
+            Ask::Off { .. } | Ask::Propose { .. } | Ask::Staff(_) => {
+                match self.work_command(&from, &ask) {
+                    Ok(command) => Some(command),
+                    Err(told) => return self.reply(from, number, *told),
+                }
+            }
+            _ => None,
+        };
+        let Some(running) = self.running_mut() else {
+            return;
+        };
         let command = match &ask {
+            Ask::Off { .. }
+            | Ask::Propose { .. }
+            | Ask::Staff(_)
+            | Ask::Work { .. }
+            | Ask::Conduct { .. }
+            | Ask::WorkView => of_work,
             Ask::Renew { session, .. } => {
                 let known = running.state.sessions().get(session);
                 let own = known.is_some_and(|known| known.name == from);
--- a/crates/fleet/src/member/log.rs
+++ b/crates/fleet/src/member/log.rs
@@ -73,6 +73,7 @@
                     let sessions = running.state.sessions().keys().copied();
                     running.grantor.begin(sessions, now, &limits);
                     running.divider.clear();
+                    running.board.clear();
                     running.raising = None;
                     running.cooling.clear();
                 }
@@ -168,6 +169,9 @@
                         running
                             .divider
                             .keep(|id| running.state.sessions().contains_key(&id));
+                        running
+                            .board
+                            .keep(|id| running.state.sessions().contains_key(&id));
                         let moved = moved.into_iter().map(|(id, _)| id);
                         let urgent: BTreeSet<SessionId> = moved.collect();
                         let grown: Vec<_> = raised.difference(&urgent).copied().collect();
@@ -204,6 +208,7 @@
             Effect::Unseen(seen) => Told::Unseen(seen),
             Effect::NameInUse => Told::Later("another session has this name".into()),
             Effect::Refused(why) => Told::Refused(why.into()),
+            Effect::Against(why) => Told::Refused(why),
             Effect::Done => match ask {
                 Ask::Lower { session, need, .. } => {
                     let known = running.state.budgets().get(&need.budget);
@@ -211,6 +216,7 @@
                 }
                 // Members of the log follow.
                 Ask::Order(Order::LetIn { .. } | Order::PutOut { .. }) => return,
+                Ask::Off { .. } => Told::NobodyServed,
                 _ => Told::Done,
             },
         };
@@ -270,6 +276,7 @@
             next_read: 0,
             jobs: BTreeMap::new(),
             divider: Divider::default(),
+            board: work::Board::default(),
             raising: None,
             cooling: BTreeMap::new(),
             halted: None,
--- a/crates/fleet/src/member/mod.rs
+++ b/crates/fleet/src/member/mod.rs
@@ -4,6 +4,7 @@
 mod leader;
 mod log;
 mod operators;
+mod work;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -38,6 +39,8 @@
     pub budgets: Vec<Def>,
     /// Those of them that are counted elsewhere in this process, not by takers here.
     pub outside: BTreeSet<Name>,
+    /// Whether it takes part in work on machines.
+    pub work: bool,
     pub limits: Limits,
 }
 
@@ -69,6 +72,7 @@
     /// Members that are being let in or put out, step by step.
     jobs: BTreeMap<Name, Job>,
     divider: Divider,
+    board: work::Board,
     /// Shares that are to grow stand in this entry.
     raising: Option<Index>,
     /// Since when a stranded share is known here, and whether its process was known to be gone.
@@ -145,6 +149,8 @@
     met: BTreeMap<Name, NodeId>,
     calls: BTreeMap<Number, CallOut>,
     units: Units,
+    /// Its part in work on machines, if it has one.
+    hand: Option<work::Hand>,
     next_call: Number,
     saves: VecDeque<(Number, Save)>,
     next_save: Number,
@@ -201,6 +207,7 @@
             met: BTreeMap::new(),
             calls: BTreeMap::new(),
             units: Units::default(),
+            hand: config.work.then(work::Hand::default),
             next_call: CALLS,
             saves: VecDeque::new(),
             next_save: 0,
@@ -281,7 +288,11 @@
                     .heard((&budget, part, busy, denied), self.now, &limits);
             }
             Input::Call(token, call) => self.call(token, call),
-            Input::Quit => {
+            Input::Work(local) => self.local(local),
+            Input::Quit | Input::End => {
+                if matches!(input, Input::End) && self.hand.is_some() {
+                    self.holder.set_waits(true);
+                }
                 self.quits = true;
                 self.holder
                     .quit(self.now, &self.config.limits, &mut self.events);
@@ -290,6 +301,7 @@
         self.pump();
         self.serve_units();
         self.ask();
+        self.ask_work();
         self.end();
         if !self.config.outside.is_empty() {
             let parts = self.holder.parts(self.now, &self.config.limits);
@@ -527,6 +539,9 @@
                 _ => {}
             }
         }
+        if number & work::WORK != 0 {
+            return self.told_work(told);
+        }
         if number & CALLS == 0 {
             let limits = self.config.limits.clone();
             let taken = self
@@ -554,11 +569,15 @@
                 Answer::View(view)
             }
             Told::Done => Answer::Done,
+            Told::WorkView(view) => Answer::WorkView(view),
             Told::Refused(why) => Answer::Refused(why),
             Told::Joined { .. }
             | Told::Renewed { .. }
             | Told::Unseen(_)
             | Told::Lowered(_)
+            | Told::Work { .. }
+            | Told::Conduct(_)
+            | Told::NobodyServed
             | Told::Gone => Answer::Refused("no answer that fits".into()),
         };
         self.out.push(Output::Answer(call.token, answer));
--- a/crates/fleet/src/member/operators.rs
+++ b/crates/fleet/src/member/operators.rs
@@ -38,9 +38,11 @@
                 }
                 Answer::Done
             }
-            Call::View | Call::Order(_) => {
+            Call::View | Call::Order(_) | Call::Staff(_) | Call::WorkView => {
                 let ask = match call {
                     Call::Order(order) => Ask::Order(order),
+                    Call::Staff(staff) => Ask::Staff(staff),
+                    Call::WorkView => Ask::WorkView,
                     _ => Ask::View,
                 };
                 return self.send_call(CallOut {
@@ -122,6 +124,7 @@
         let why = self.without_majority();
         let answer = match call.ask {
             Ask::View => Answer::View(self.view_alone(why)),
+            Ask::WorkView => Answer::WorkView(self.work_alone(why)),
             // A member is let in or put out in steps, each of which is committed.
             Ask::Order(Order::LetIn { .. } | Order::PutOut { .. }) => {
                 Answer::Refused(format!("not done yet, call again: {why}"))
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -5,12 +5,18 @@
 
 use serde::{Deserialize, Serialize};
 
+use violetwind_workorders::Change;
+
 use crate::budget::{Def, Share, Shares};
 use crate::limits::Caps;
 use crate::words::{Name, Number, SessionId};
+use crate::work::{DUTY, Work};
 
-/// The first byte of every command and snapshot.
+/// The first byte of every command and snapshot: the oldest version that has all of it, so that members of
+/// the first go on reading for as long as there is no work.
 const VERSION: u8 = 1;
+/// Orders for work.
+const WORK: u8 = 2;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
@@ -80,6 +86,21 @@
     Unbar {
         name: Name,
     },
+    /// The session's proxy goes by the list of what is out from now on, and has to confirm.
+    Serve {
+        session: SessionId,
+    },
+    /// The session's proxy serves nobody any more.
+    Off {
+        session: SessionId,
+    },
+    /// Changes of the orders for work, by staff or by whoever conducts with that fencing number; `roster` is who had to
+    /// confirm them.
+    Work {
+        changes: Vec<Change>,
+        by: Option<(SessionId, Number)>,
+        roster: Number,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,6 +112,8 @@
     /// Another session of that name has to end first.
     NameInUse,
     Refused(&'static str),
+    /// What stands against a change of orders.
+    Against(String),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -132,44 +155,68 @@
     /// The last number when a session of a name last began or ended; the largest of those forgotten.
     changed: BTreeMap<Name, Number>,
     forgotten: Number,
+    /// Behind the rest in a snapshot, where there is any.
+    #[serde(skip)]
+    work: Work,
 }
 
-fn encode<T: Serialize>(what: &T) -> Vec<u8> {
-    let bytes = vec![VERSION];
-    postcard::to_extend(what, bytes).expect("plain data can be written")
+fn encode<T: Serialize>(version: u8, what: &T) -> Vec<u8> {
+    postcard::to_extend(what, vec![version]).expect("plain data can be written")
 }
 
-fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, String> {
+/// The version, the value, and what is behind it.
+fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<(u8, T, &[u8]), String> {
     match bytes.split_first() {
-        Some((&VERSION, rest)) => postcard::from_bytes(rest).map_err(|error| error.to_string()),
-        Some((version, _)) => Err(format!(
-            "version {version}, and this program knows {VERSION}"
-        )),
+        Some((version @ (&VERSION | &WORK), rest)) => {
+            let (what, rest) =
+                postcard::take_from_bytes(rest).map_err(|error| error.to_string())?;
+            Ok((*version, what, rest))
+        }
+        Some((version, _)) => Err(format!("version {version}, and this program knows {WORK}")),
         None => Err("empty".into()),
     }
 }
 
 impl Command {
     pub fn encode(&self) -> Vec<u8> {
-        encode(self)
+        let work = matches!(
+            self,
+            Self::Serve { .. } | Self::Off { .. } | Self::Work { .. }
+        );
+        encode(if work { WORK } else { VERSION }, self)
     }
 
     /// # Errors
     /// Another version, or no command at all.
     pub fn decode(bytes: &[u8]) -> Result<Self, String> {
-        decode(bytes)
+        decode(bytes).map(|(_, command, _)| command)
     }
 }
 
 impl State {
     pub fn encode(&self) -> Vec<u8> {
-        encode(self)
+        match self.work.is_new() {
+            true => encode(VERSION, self),
+            false => {
+                let bytes = encode(WORK, self);
+                postcard::to_extend(&self.work, bytes).expect("plain data can be written")
+            }
+        }
     }
 
     /// # Errors
     /// Another version, or no state at all.
     pub fn decode(bytes: &[u8]) -> Result<Self, String> {
-        decode(bytes)
+        let (version, mut state, rest): (u8, Self, _) = decode(bytes)?;
+        if version == WORK {
+            state.work = postcard::from_bytes(rest).map_err(|error| error.to_string())?;
+        }
+        Ok(state)
+    }
+
+    /// Orders for work on machines.
+    pub fn work(&self) -> &Work {
+        &self.work
     }
 
     pub fn sessions(&self) -> &BTreeMap<SessionId, Session> {
@@ -312,6 +359,7 @@
                 self.budgets
                     .values_mut()
                     .for_each(|shares| shares.gone(&name));
+                self.work.serves_nobody(&name);
                 Effect::Done
             }
             Command::Close { sessions, avoid } => {
@@ -372,6 +420,43 @@
                 self.barred.remove(&name);
                 Effect::Done
             }
+            Command::Serve { session } => {
+                if let Some(known) = self.sessions.get(&session) {
+                    self.work.serves(known.name.clone(), session);
+                }
+                Effect::Done
+            }
+            Command::Off { session } => {
+                if let Some(known) = self.sessions.get(&session) {
+                    self.work.serves_nobody(&known.name);
+                }
+                Effect::Done
+            }
+            Command::Work {
+                changes,
+                by,
+                roster,
+            } => {
+                // A conductor that was stopped with a step in hand has a successor by now.
+                let holder = self.duties.get(DUTY).and_then(|duty| duty.holder);
+                if by.is_some() && by != holder {
+                    return Effect::Against("another conducts".into());
+                }
+                let conducts = |change: &Change| match change {
+                    Change::Machines(_) => by.is_some(),
+                    Change::Step { fence, .. } => *fence == by.map(|(_, fence)| fence),
+                    Change::Plan(_) | Change::Pause(..) | Change::Cancel(_) => by.is_none(),
+                };
+                for change in changes {
+                    if !conducts(&change) {
+                        return Effect::Against("not by whoever conducts".into());
+                    }
+                    if let Err(why) = self.work.apply(change, roster) {
+                        return Effect::Against(why.to_string());
+                    }
+                }
+                Effect::Done
+            }
         }
     }
 
@@ -428,6 +513,7 @@
         if self.budgets.len() + new > Caps::BUDGETS {
             return Effect::Refused("too many budgets");
         }
+        self.work.begun(&name);
         self.last += 1;
         let id = self.last;
         let wants: BTreeSet<Name> = wants.into_iter().collect();
@@ -590,7 +676,7 @@
 
 /// Tells files apart; the same at every member, whatever its program was built with.
 fn digest(defs: &[Def]) -> u64 {
-    let bytes = encode(&defs);
+    let bytes = encode(VERSION, &defs);
     let fold = |sum: u64, byte: &u8| (sum ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
     bytes.iter().fold(0xcbf2_9ce4_8422_2325, fold)
 }
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -4,9 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 use violetwind_consensus::{Members, Message, Millis, NodeId, Term, Write};
+use violetwind_workorders::{Change, Report};
 
 use crate::budget::{Def, Need, Part, Share};
 use crate::events::Event;
+use crate::work::{Known, List, Local, Staff, WorkView};
 
 /// Of a member or a duty.
 pub type Name = String;
@@ -97,6 +99,32 @@
     },
     View,
     Order(Order),
+    /// What the asker confirms of machines in orders; `have` is the version of the list that it goes by.
+    Work {
+        session: SessionId,
+        have: Number,
+        reports: Vec<(Name, Report)>,
+    },
+    /// The asker serves nobody any more, and will not.
+    Off {
+        session: SessionId,
+    },
+    /// What whoever conducts has to know; and what each machine waits for.
+    Conduct {
+        session: SessionId,
+        fence: Number,
+        have: Number,
+        why: Vec<(Name, String)>,
+    },
+    /// A change of the orders by whoever conducts, upon who had to confirm it.
+    Propose {
+        session: SessionId,
+        fence: Number,
+        roster: Number,
+        change: Change,
+    },
+    Staff(Staff),
+    WorkView,
 }
 
 /// What operators want of the fleet.
@@ -154,6 +182,15 @@
     Done,
     Refused(String),
     View(View),
+    /// The list of machines in orders, where the asker has another.
+    Work {
+        version: Number,
+        list: Option<List>,
+    },
+    Conduct(Known),
+    WorkView(WorkView),
+    /// The log has it that the asker serves nobody.
+    NobodyServed,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -279,11 +316,14 @@
         budget: Name,
         token: Name,
     },
+    Staff(Staff),
+    WorkView,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
     View(View),
+    WorkView(WorkView),
     Done,
     /// Held from before the call for so long, and not longer unless it is asked again.
     Held {
@@ -317,8 +357,13 @@
         busy: u64,
         denied: u64,
     },
+    /// What is so here of machines that are worked on.
+    Work(Local),
     /// Hand everything on, then end: [`Output::Ended`].
     Quit,
+    /// The same of a process that has no successor: where it takes part in work it stays until it serves nobody, if that
+    /// comes soon.
+    End,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -329,6 +374,8 @@
     Answer(Number, Answer),
     /// A part for whoever counts that budget elsewhere in this process; answered with [`Input::Used`].
     Part(Name, Number, Part),
+    /// The list of machines in orders, of that version, to go by.
+    Work(Number, List),
     Event(Event),
     Ended,
 }
--- a/crates/fleet/tests/cases.rs
+++ b/crates/fleet/tests/cases.rs
@@ -477,6 +477,7 @@
         ..Saved::new(NodeId(7))
     };
     let config = Config {
+        work: false,
         node: name(0),
         peers: [(name(0), true)].into(),
         duties: vec!["export".into()],
--- a/crates/proxy/benches/duties.rs
+++ b/crates/proxy/benches/duties.rs
@@ -20,6 +20,7 @@
         lease_ms: 2000,
         election_ms: 500,
         duties: vec!["export".into()],
+        cold_s: 4.0,
         fleet_lines: format!(
             "sync = {sync}\nlinks = {}\n",
             if others > 0 { 512 } else { 64 }
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -26,6 +26,7 @@
   violetwind catalogue deploy/violetwind.example.toml --json
   violetwind fleet status --at 127.0.0.1:19000
   violetwind hold nightly-export --at 127.0.0.1:19000 -- ./export.sh
+  violetwind work plan kernel --machines m-1..m-12 --most 2 --floor 0.8 --at 127.0.0.1:19000
   violetwind completions bash > /etc/bash_completion.d/violetwind"
 )]
 pub struct Cli {
@@ -55,6 +56,9 @@
     /// Ask a proxy about its fleet, or have it change something there.
     #[command(subcommand)]
     Fleet(Fleet),
+    /// Have machines taken out for work, in an order that the proxies of the fleet settle.
+    #[command(subcommand)]
+    Work(Work),
     /// Run a command only while a proxy holds a duty.
     ///
     /// The command gets the holding's fencing number as VIOLETWIND_FENCE, which whoever takes its work has to
@@ -105,6 +109,81 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+pub enum Work {
+    /// Order work on machines: they go out, are worked on, and come back, as the bounds allow.
+    Plan(Plan),
+    /// The orders, each machine's place, and what it waits for.
+    Show {
+        #[command(flatten)]
+        at: At,
+        /// The proxy's own line instead of a table.
+        #[arg(long)]
+        json: bool,
+    },
+    /// Nothing more goes out, of one order or of all; what is out goes on.
+    Pause(OrderAt),
+    Resume(OrderAt),
+    /// Nothing more goes out, and what is out comes back; machines worked on stay done.
+    Cancel(OrderAt),
+    /// The work on an empty machine is done, or a failed one is sound: it comes back.
+    Done(MachineAt),
+    /// The work on a machine has failed: it stays out until `done` or `recall`.
+    Failed(MachineAt),
+    /// A failed machine comes back as it is.
+    Recall(MachineAt),
+}
+
+#[derive(Debug, Args)]
+pub struct OrderAt {
+    /// The order's number; without it all orders.
+    pub order: Option<u64>,
+    #[command(flatten)]
+    pub at: At,
+}
+
+#[derive(Debug, Args)]
+pub struct MachineAt {
+    pub machine: String,
+    #[command(flatten)]
+    pub at: At,
+}
+
+#[derive(Debug, Args)]
+pub struct Plan {
+    /// What staff call the work, one word.
+    pub name: String,
+    /// Names with commas between them, or ranges such as m-1..m-12.
+    #[arg(long)]
+    pub machines: String,
+    #[command(flatten)]
+    pub at: At,
+    /// Machines out at once.
+    #[arg(long, default_value_t = 1)]
+    pub most: u32,
+    /// Machines out at once in one zone.
+    #[arg(long, default_value_t = 1)]
+    pub zone_most: u32,
+    /// The part of all machines' room that stays in.
+    #[arg(long, default_value_t = 0.8)]
+    pub floor: f64,
+    /// The floor holds also when any one machine more is lost.
+    #[arg(long)]
+    pub spare: bool,
+    /// Nothing goes out before, in seconds since 1970.
+    #[arg(long, value_name = "UNIX", default_value_t = 0.0)]
+    pub not_before: f64,
+    /// Until a machine that leaves has to be empty.
+    #[arg(long, value_name = "SECONDS", default_value_t = 900.0)]
+    pub leave: f64,
+    /// Until staff have to say that an empty one is done.
+    #[arg(long, value_name = "SECONDS", default_value_t = 43_200.0)]
+    pub work: f64,
+    /// Until one that returns has to be up and warm.
+    #[arg(long, value_name = "SECONDS", default_value_t = 1800.0)]
+    pub back: f64,
+}
+
 #[derive(Debug, Args)]
 pub struct At {
     /// The address for operators of a proxy.
@@ -190,6 +269,7 @@
                 Wanted::Done(show::catalogue(&layers, json))
             }
             Some(Command::Fleet(command)) => Wanted::Done(staff::fleet(command)),
+            Some(Command::Work(command)) => Wanted::Done(staff::work(command)),
             Some(Command::Hold(hold)) => Wanted::Done(staff::hold(&hold)),
             Some(Command::Completions { shell }) => {
                 let mut command = Self::command();
--- a/crates/proxy/src/fleet/mod.rs
+++ b/crates/proxy/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod frames;
 mod links;
 pub mod settings;
+pub mod shift;
 mod store;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -20,13 +21,14 @@
 use tracing::{error, info, warn};
 use violetwind_consensus::NodeId;
 use violetwind_fleet::budget::Part;
+use violetwind_fleet::work::{List, Local};
 use violetwind_fleet::{
     Answer, Call, Config, Event, Input, Member, Name, Number, Output, Record, Saved,
 };
 
 use self::links::Links;
 use self::settings::Settings;
-use self::store::{Fault, Records, Store, Told};
+use self::store::{Fault, Records, Store, Told as Disk};
 
 /// Milliseconds of a clock that does not go back and that goes on while the machine sleeps: the same for all
 /// processes of a machine.
@@ -39,14 +41,25 @@
     Call(Call, oneshot::Sender<Answer>),
     /// What the module uses of a budget that it counts: part in force, in use, how often too small.
     Used(Name, Number, u64, u64),
+    /// What is so here of machines that are worked on.
+    Work(Box<Local>),
+}
+
+/// Whether it is to take part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wanted {
+    No,
+    /// The process ends: a member that takes part in work says when it serves nobody.
+    Ending,
+    Yes,
 }
 
 /// The way to the fleet's thread.
 #[derive(Clone)]
 pub struct Fleet {
     words: mpsc::Sender<Word>,
-    /// Whether it is to take part: told to hand on, it hands on and stays away until it is wanted again.
-    wanted: watch::Sender<bool>,
+    /// Told to hand on, it hands on and stays away until it is wanted again.
+    wanted: watch::Sender<Wanted>,
     /// Whether it takes part, or still hands on.
     busy: watch::Receiver<bool>,
 }
@@ -54,31 +67,50 @@
 /// A part of a budget that the module counts, with its number.
 pub type PartOf = (Name, Number, Part);
 
+/// What the fleet's thread tells the engine's: parts of budgets, and what is out.
+pub struct Told {
+    pub parts: mpsc::Receiver<PartOf>,
+    pub lists: mpsc::Receiver<(Number, List)>,
+}
+
+/// The other ends of these.
+struct Tells {
+    parts: mpsc::Sender<PartOf>,
+    lists: mpsc::Sender<(Number, List)>,
+}
+
 impl Fleet {
     /// Starts the thread, which waits for [`Fleet::begin`].
     ///
     /// # Errors
     /// The thread can't be started, or the section does not fit this proxy.
-    pub fn start(settings: Settings, node: &str) -> io::Result<(Self, mpsc::Receiver<PartOf>)> {
+    pub fn start(settings: Settings, node: &str) -> io::Result<(Self, Told)> {
         settings.fits(node).map_err(io::Error::other)?;
         for warning in &settings.warnings {
             warn!(warning, "fleet");
         }
         let (words, inbox) = mpsc::channel(settings.links.calls);
         let (is_busy, busy) = watch::channel(false);
-        let (wanted, is_wanted) = watch::channel(false);
+        let (wanted, is_wanted) = watch::channel(Wanted::No);
         let inbox = Inbox {
             words: inbox,
             wanted: is_wanted,
         };
-        let (parts, told) = mpsc::channel(settings.links.parts);
+        let (parts, parts_told) = mpsc::channel(settings.links.parts);
+        let (lists, lists_told) =
+            mpsc::channel(settings.work.as_ref().map_or(1, |work| work.lists));
+        let tells = Tells { parts, lists };
+        let told = Told {
+            parts: parts_told,
+            lists: lists_told,
+        };
         let node = node.to_string();
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
         thread::Builder::new().name("fleet".into()).spawn(move || {
             let tasks = tokio::task::LocalSet::new();
-            tasks.block_on(&runtime, live(settings, node, inbox, (is_busy, parts)));
+            tasks.block_on(&runtime, live(settings, node, inbox, (is_busy, tells)));
             runtime.shutdown_background();
         })?;
         let fleet = Self {
@@ -90,11 +122,14 @@
     }
 
     pub fn begin(&self) {
-        self.wanted.send_replace(true);
+        self.wanted.send_replace(Wanted::Yes);
     }
 
-    pub fn quit(&self) {
-        self.wanted.send_replace(false);
+    pub fn quit(&self, ending: bool) {
+        self.wanted.send_replace(match ending {
+            true => Wanted::Ending,
+            false => Wanted::No,
+        });
     }
 
     /// What the module uses of a budget; said again and again, so that one word may be lost.
@@ -104,6 +139,11 @@
             .try_send(Word::Used(budget.to_string(), part, busy, denied));
     }
 
+    /// What is so here of machines; said again and again, so that one word may be lost.
+    pub fn work(&self, local: Local) {
+        let _ = self.words.try_send(Word::Work(Box::new(local)));
+    }
+
     pub fn busy(&self) -> bool {
         *self.busy.borrow()
     }
@@ -123,7 +163,7 @@
 /// What the fleet's thread hears from the proxy.
 struct Inbox {
     words: mpsc::Receiver<Word>,
-    wanted: watch::Receiver<bool>,
+    wanted: watch::Receiver<Wanted>,
 }
 
 /// Why a member is over.
@@ -141,11 +181,11 @@
     settings: Settings,
     node: Name,
     mut inbox: Inbox,
-    (busy, parts): (watch::Sender<bool>, mpsc::Sender<PartOf>),
+    (busy, tells): (watch::Sender<bool>, Tells),
 ) {
-    let settings = Rc::new(settings);
+    let (settings, tells) = (Rc::new(settings), Rc::new(tells));
     loop {
-        let wanted = *inbox.wanted.borrow_and_update();
+        let wanted = *inbox.wanted.borrow_and_update() == Wanted::Yes;
         busy.send_replace(wanted);
         if !wanted {
             tokio::select! {
@@ -157,7 +197,7 @@
             }
             continue;
         }
-        match take_part(&settings, &node, &mut inbox, &parts).await {
+        match take_part(&settings, &node, &mut inbox, &tells).await {
             Over::Quit => {}
             Over::Dropped => return,
             // Set aside: it comes back as a stranger.
@@ -199,7 +239,7 @@
         tokio::select! {
             () = sleep(settings.links.retry) => {}
             changed = inbox.wanted.changed() => match changed {
-                Ok(()) if *inbox.wanted.borrow_and_update() => {}
+                Ok(()) if *inbox.wanted.borrow_and_update() == Wanted::Yes => {}
                 Ok(()) => return Err(Over::Quit),
                 Err(_) => return Err(Over::Dropped),
             },
@@ -212,7 +252,7 @@
     settings: &Rc<Settings>,
     node: &str,
     heard: &mut Inbox,
-    parts: &mpsc::Sender<PartOf>,
+    tells: &Rc<Tells>,
 ) -> Over {
     let store = match &settings.dir {
         None => None,
@@ -263,7 +303,7 @@
     info!(fleet = settings.name, node, listen = %settings.listen, id = id.map(|id| format!("{:x}", id.0)),
         mono_ms = mono_ms(), "this proxy takes part in a fleet");
     let records = disk_thread.as_ref().map(|(records, _)| records.clone());
-    let mut part = Process::new(settings, node, saved, (links, records), parts.clone());
+    let mut part = Process::new(settings, node, saved, (links, records), tells.clone());
     let mut ticks = interval(settings.links.tick);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while part.over.is_none() {
@@ -271,12 +311,15 @@
             _ = ticks.tick() => part.handle(Input::Tick),
             Some(input) = inputs.recv() => part.handle(input),
             Some(word) = disk.recv() => match word {
-                Told::Saved(number) => part.saved(number),
-                Told::Failed(why) => part.over = Some(Over::Failed(why)),
+                Disk::Saved(number) => part.saved(number),
+                Disk::Failed(why) => part.over = Some(Over::Failed(why)),
             },
             changed = heard.wanted.changed() => match changed {
-                Ok(()) if *heard.wanted.borrow_and_update() => {}
-                Ok(()) => part.handle(Input::Quit),
+                Ok(()) => match *heard.wanted.borrow_and_update() {
+                    Wanted::Yes => {}
+                    Wanted::No => part.handle(Input::Quit),
+                    Wanted::Ending => part.handle(Input::End),
+                },
                 // The program ends without a word to anybody: the lease runs out.
                 Err(_) => part.over = Some(Over::Dropped),
             },
@@ -284,6 +327,7 @@
                 Word::Used(budget, number, busy, denied) => {
                     part.handle(Input::Used { budget, part: number, busy, denied });
                 }
+                Word::Work(local) => part.handle(Input::Work(*local)),
                 Word::Call(call, reply) => part.call(call, reply),
             },
         }
@@ -315,8 +359,8 @@
 /// A member, and the ways to what is around it.
 struct Process {
     member: Member,
-    /// The way to what counts budgets for the module.
-    parts: mpsc::Sender<PartOf>,
+    /// The way to the engine's thread.
+    tells: Rc<Tells>,
     links: Rc<Links>,
     records: Option<Records>,
     /// Records on the way to the disk, and their sizes.
@@ -334,9 +378,10 @@
         node: &str,
         saved: Option<Saved>,
         (links, records): (Rc<Links>, Option<Records>),
-        parts: mpsc::Sender<PartOf>,
+        tells: Rc<Tells>,
     ) -> Self {
         let config = Config {
+            work: settings.work.is_some(),
             node: node.to_string(),
             peers: settings
                 .peers
@@ -352,7 +397,7 @@
         let seed = rand::random::<u64>() >> 2;
         Self {
             member: Member::new(config, saved, seed, mono_ms()),
-            parts,
+            tells,
             links,
             records,
             unsynced: VecDeque::new(),
@@ -391,10 +436,16 @@
                 }
                 Output::Part(budget, number, part) => {
                     // One that is not taken is told again when it changes; until then less counts, not more.
-                    if self.parts.try_send((budget, number, part)).is_err() {
+                    if self.tells.parts.try_send((budget, number, part)).is_err() {
                         warn!("the module does not take its parts of budgets");
                     }
                 }
+                Output::Work(version, list) => {
+                    // It is told again for as long as it is not in force.
+                    if self.tells.lists.try_send((version, list)).is_err() {
+                        warn!("the engine's thread does not take what is out");
+                    }
+                }
                 Output::Event(event) => self.event(event),
                 Output::Ended => self.over = Some(Over::Quit),
             }
--- a/crates/proxy/src/fleet/settings.rs
+++ b/crates/proxy/src/fleet/settings.rs
@@ -3,12 +3,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use violetwind_conf::Section;
 use violetwind_fleet::budget::{Def, Kind};
+use violetwind_fleet::work::DUTY;
 use violetwind_fleet::{Caps, Limits, Name, Unsound};
+use violetwind_service::Machines;
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -23,6 +25,8 @@
     pub budgets: Vec<Def>,
     /// Budgets that the module counts, and of what.
     pub counted_by: BTreeMap<Name, Of>,
+    /// Its part in work on machines, if it has one.
+    pub work: Option<Work>,
     pub limits: Limits,
     pub links: Links,
     /// What is allowed and probably not meant.
@@ -36,6 +40,23 @@
     pub votes: bool,
 }
 
+/// `[fleet.work]`: machines, and what is out on disk.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    pub machines: Machines,
+    /// Machines that carry a proxy, or that the file names with a zone: zone and proxy.
+    pub named: BTreeMap<Name, (Option<Name>, Option<Name>)>,
+    /// What is out, as last heard.
+    pub file: PathBuf,
+    /// Without such a file the fleet is waited for so long before the first client.
+    pub first: Duration,
+    /// Between two looks at what is here, and the same while nothing is ordered.
+    pub every: Duration,
+    pub idle: Duration,
+    /// Lists on their way from the fleet's thread.
+    pub lists: usize,
+}
+
 /// What the module counts for a budget.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Of {
@@ -240,6 +261,11 @@
                 format!("{} duties, {} at most", duties.len(), Caps::DUTIES),
             );
         }
+        let work = work(section, dir.as_deref(), &limits, &peers);
+        if work.as_ref().is_some_and(|(_, conducts)| *conducts) {
+            duties.insert(DUTY.into());
+        }
+        let work = work.map(|(work, _)| work);
         let duties = duties.into_iter().collect();
         let (budgets, counted_by) = budgets(section, peers.len() as u64);
         Self {
@@ -251,6 +277,7 @@
             duties,
             budgets,
             counted_by,
+            work,
             limits,
             links,
             warnings,
@@ -258,6 +285,68 @@
     }
 }
 
+/// The section for work on machines, and whether this proxy may conduct.
+fn work(
+    root: &Section<'_>,
+    dir: Option<&Path>,
+    limits: &Limits,
+    peers: &[PeerAt],
+) -> Option<(Work, bool)> {
+    let section = root.section("work");
+    if !section.is_there() {
+        return None;
+    }
+    let ms = Duration::from_millis;
+    let mut named = BTreeMap::new();
+    let mut machines = Machines {
+        until: section
+            .text("machine_until")
+            .filter(|until| !until.is_empty()),
+        named: BTreeMap::new(),
+    };
+    for machine in section.sections("machine") {
+        let name = checked(&machine, "name");
+        let proxy = machine.text("proxy");
+        if let Some(proxy) = &proxy
+            && !peers.iter().any(|peer| peer.node == *proxy)
+        {
+            // Members that never vote need not be named among the peers; a mistyped voter would be worse.
+            machine.wrong("proxy", "no peer has this name");
+        }
+        for uid in machine.texts("servers") {
+            if machines.named.insert(uid.clone(), name.clone()).is_some() {
+                machine.wrong("servers", format!("\"{uid}\" is on another machine too"));
+            }
+        }
+        let zone = machine.text("zone");
+        machine.finish();
+        if named.insert(name, (zone, proxy)).is_some() {
+            machine.wrong("name", "another machine has this name");
+        }
+    }
+    let file = section.text("file").map(PathBuf::from);
+    let file = file.or_else(|| dir.map(|dir| dir.with_extension("out")));
+    if file.is_none() {
+        section.wrong(
+            "file",
+            "a file for what is out, as there is no `fleet.dir` beside it",
+        );
+    }
+    let every = ms(limits.work / 2);
+    let work = Work {
+        machines,
+        named,
+        file: file.unwrap_or_default(),
+        first: section.span("first", ms(0)..=ms(60_000), ms(2000)),
+        every,
+        idle: ms(limits.renew),
+        lists: 16,
+    };
+    let conducts = section.flag("conduct", true);
+    section.finish();
+    Some((work, conducts))
+}
+
 /// What `of` can say.
 #[derive(Clone)]
 enum Wanted {
--- /dev/null
+++ b/crates/proxy/src/fleet/shift.rs
@@ -0,0 +1,379 @@
+//! Work on machines at this proxy, on the engine's thread: what is out is written down, then in force in the engine, then
+//! confirmed. Without `[fleet.work]` there is nothing of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout};
+use tracing::{error, info, warn};
+use violetwind_engine::{Looked, Notice, Seen};
+use violetwind_fleet::work::{List, Local};
+use violetwind_fleet::{Name, Number};
+use violetwind_service::Change;
+use violetwind_workorders::{Belief, Machine, Report, Server};
+
+use super::settings::{Settings, Work};
+use super::{Fleet, mono_ms};
+use crate::service::Service;
+
+/// The first words of the file, with a checksum of the rest behind them.
+const MAGIC: &str = "violetwind out 1 ";
+/// The longest file that is read.
+const LONGEST: u64 = 64 << 20;
+
+/// What staff may read of a machine that is out, and what a new process goes by.
+pub fn read(path: &Path) -> Result<Option<Belief>, String> {
+    let place = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+    let text = match fs::metadata(path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Ok(file) if file.len() > LONGEST => return Err(place(&"longer than any list")),
+        Ok(_) => fs::read_to_string(path).map_err(|error| place(&error))?,
+        Err(error) => return Err(place(&error)),
+    };
+    let body = text
+        .strip_prefix(MAGIC)
+        .and_then(|rest| rest.split_once('\n'));
+    let (sum, body) = body.ok_or_else(|| place(&"line 1: no list of what is out"))?;
+    let known = u32::from_str_radix(sum, 16).ok();
+    if known != Some(crc32fast::hash(body.as_bytes())) {
+        return Err(place(&"line 1: the checksum differs; nothing is guessed"));
+    }
+    serde_json::from_str(body)
+        .map(Some)
+        .map_err(|error| place(&error))
+}
+
+/// Writes it down in one step; it is on disk when this returns.
+fn write(path: &Path, belief: &Belief) -> io::Result<()> {
+    let body = serde_json::to_string_pretty(belief).map_err(io::Error::other)? + "\n";
+    let new = path.with_extension("out.new");
+    let mut file = File::create(&new)?;
+    let sum = crc32fast::hash(body.as_bytes());
+    file.write_all(format!("{MAGIC}{sum:08x}\n{body}").as_bytes())?;
+    file.sync_all()?;
+    fs::rename(&new, path)?;
+    let dir = path.parent().filter(|dir| !dir.as_os_str().is_empty());
+    File::open(dir.unwrap_or(Path::new(".")))?.sync_all()
+}
+
+pub struct Shift {
+    work: Work,
+    node: Name,
+    votes: BTreeSet<Name>,
+    fleet: Fleet,
+    lists: mpsc::Receiver<(Number, List)>,
+    engine: mpsc::Sender<Notice>,
+    service: Rc<Service>,
+    /// What is in force, and on disk.
+    belief: Belief,
+    /// This proxy was left as its machine is out.
+    left: bool,
+    /// The disk did not take the last list; told once.
+    stuck: bool,
+    removed: bool,
+}
+
+impl Shift {
+    /// None without the section.
+    pub fn new(
+        settings: &Settings,
+        node: &str,
+        (fleet, lists): (Fleet, mpsc::Receiver<(Number, List)>),
+        engine: mpsc::Sender<Notice>,
+        service: Rc<Service>,
+    ) -> Option<Self> {
+        let votes = settings.voters().map(|peer| peer.node.clone());
+        Some(Self {
+            work: settings.work.clone()?,
+            node: node.to_string(),
+            votes: votes.collect(),
+            fleet,
+            lists,
+            engine,
+            service,
+            belief: Belief::default(),
+            left: false,
+            stuck: false,
+            removed: false,
+        })
+    }
+
+    /// Goes by what is on disk, before the first client; where nothing is, by the first word of the fleet, which is waited
+    /// for no longer than is set. An upgrade's successor does not wait: the process before it has kept the file.
+    pub async fn begin(&mut self, succeeds: bool) {
+        match read(&self.work.file) {
+            Ok(Some(belief)) => {
+                let out: Vec<&Name> = belief.ordered().map(|(name, _)| name).collect();
+                if !out.is_empty() {
+                    info!(
+                        ?out,
+                        mono_ms = mono_ms(),
+                        "machines are out, by the file of the last process"
+                    );
+                }
+                self.go_by(belief).await;
+                return;
+            }
+            Ok(None) => {}
+            Err(why) => error!(why, "what is out can't be read"),
+        }
+        if succeeds {
+            return;
+        }
+        self.fleet.begin();
+        let first = Instant::now();
+        let heard = timeout(self.work.first, self.first_list()).await.is_ok();
+        if !heard {
+            warn!(
+                waited_ms = first.elapsed().as_millis() as u64,
+                mono_ms = mono_ms(),
+                "no list of what is out, on disk or from the fleet: all machines are used until there is one"
+            );
+        }
+    }
+
+    async fn first_list(&mut self) {
+        loop {
+            self.fleet.work(Local::default());
+            tokio::select! {
+                list = self.lists.recv() => match list {
+                    Some((version, list)) => {
+                        if self.take(version, list).await {
+                            return;
+                        }
+                    }
+                    None => return std::future::pending().await,
+                },
+                () = sleep(self.work.every) => {}
+            }
+        }
+    }
+
+    /// A successor goes by what its elder wrote last.
+    pub async fn again(&mut self) {
+        if let Ok(Some(belief)) = read(&self.work.file)
+            && belief.at() > self.belief.at()
+        {
+            self.go_by(belief).await;
+        }
+    }
+
+    /// Goes on for as long as the engine does.
+    pub async fn run(mut self) {
+        let mut listens = true;
+        loop {
+            let busy = self.belief.machines().next().is_some();
+            let busy = busy || self.service.closed();
+            let rest = if busy {
+                self.work.every
+            } else {
+                self.work.idle
+            };
+            tokio::select! {
+                list = self.lists.recv(), if listens => match list {
+                    Some((mut version, mut list)) => {
+                        while let Ok(newer) = self.lists.try_recv() {
+                            (version, list) = newer;
+                        }
+                        self.take(version, list).await;
+                    }
+                    // The fleet's thread has ended: what is out stays out.
+                    None => listens = false,
+                },
+                () = sleep(rest) => {}
+            }
+            let Some(looked) = self.look().await else {
+                return;
+            };
+            let local = self.local(&looked);
+            if local.serves_nobody && !std::mem::replace(&mut self.removed, true) {
+                // Who starts anew asks what is out: nobody waits for its word until then.
+                if let Err(error) = fs::remove_file(&self.work.file) {
+                    warn!(%error, "the list of what is out stays");
+                }
+            }
+            self.fleet.work(local);
+        }
+    }
+
+    /// A newer list: on disk, then in force. False if it can't be written: then it is not confirmed.
+    async fn take(&mut self, version: Number, list: List) -> bool {
+        if version < self.belief.at() || self.removed {
+            return true;
+        }
+        let mut belief = self.belief.clone();
+        belief.hear(version, list);
+        let (path, kept) = (self.work.file.clone(), belief.clone());
+        let written = tokio::task::spawn_blocking(move || write(&path, &kept)).await;
+        match written {
+            Ok(Ok(())) => self.stuck = false,
+            error => {
+                if !std::mem::replace(&mut self.stuck, true) {
+                    error!(?error, file = %self.work.file.display(), mono_ms = mono_ms(),
+                        "what is out can't be written down: it is in force and not confirmed");
+                }
+                // Nothing new goes to what is to go out; it is only not said.
+                self.engine_goes_by(&belief).await;
+                return false;
+            }
+        }
+        self.go_by(belief).await;
+        true
+    }
+
+    async fn engine_goes_by(&self, belief: &Belief) {
+        let closed = belief.ordered().map(|(name, listed)| {
+            let servers = listed
+                .machine
+                .servers
+                .iter()
+                .map(|server| server.name.clone());
+            (name.clone(), servers.collect())
+        });
+        let (reply, done) = oneshot::channel();
+        let told = Notice::Out(closed.collect(), reply);
+        if self.engine.send(told).await.is_ok() {
+            let _ = done.await;
+        }
+    }
+
+    async fn go_by(&mut self, belief: Belief) {
+        let names = |belief: &Belief| -> BTreeSet<Name> {
+            belief.ordered().map(|(name, _)| name.clone()).collect()
+        };
+        let (before, after) = (names(&self.belief), names(&belief));
+        self.engine_goes_by(&belief).await;
+        for (name, out) in before
+            .symmetric_difference(&after)
+            .map(|name| (name, after.contains(name)))
+        {
+            let version = belief
+                .report(name, 0, false)
+                .map_or(0, |report| report.version);
+            info!(
+                machine = name,
+                out,
+                version,
+                mono_ms = mono_ms(),
+                "a machine by the orders for work"
+            );
+        }
+        self.belief = belief;
+        let own = self
+            .belief
+            .machine_of(&self.node)
+            .map(|(_, own)| own.closed);
+        match own.unwrap_or(false) {
+            true if !self.left => {
+                self.left = true;
+                self.say(Change::Leave).await;
+            }
+            false if self.left => {
+                self.left = false;
+                self.say(Change::Join).await;
+            }
+            _ => {}
+        }
+    }
+
+    /// This proxy's machine goes out, or is back.
+    async fn say(&self, change: Change) {
+        let word = self.service.heed(u64::MAX, change).await;
+        if let Err(why) = word {
+            warn!(why, "this proxy's own machine");
+        }
+    }
+
+    async fn look(&self) -> Option<Looked> {
+        let (reply, looked) = oneshot::channel();
+        self.engine.send(Notice::Look(reply)).await.ok()?;
+        looked.await.ok()
+    }
+
+    fn local(&mut self, looked: &Looked) -> Local {
+        let elder = u64::from(self.service.has_elder());
+        let names: Vec<Name> = self.belief.machines().cloned().collect();
+        let none = Seen::default();
+        let mut reports = BTreeMap::new();
+        for name in names {
+            let seen = looked.machines.get(&name).unwrap_or(&none);
+            let listed = self.belief.listed(&name).cloned().unwrap_or_default();
+            let own = matches!(&listed.machine.proxy, Some((proxy, _)) if *proxy == self.node);
+            // Operators' words at this proxy are stronger.
+            let opened =
+                seen.servers.iter().any(|server| server.opened) || (own && !self.service.left());
+            let servers = !seen.servers.is_empty();
+            let banned = servers && seen.servers.iter().all(|server| server.banned);
+            let word = match (opened && listed.closed, banned) {
+                (true, _) => Some(true),
+                (false, true) => Some(false),
+                (false, false) => None,
+            };
+            self.belief.word(&name, word);
+            let expected = !listed.machine.servers.is_empty();
+            let warm = seen.servers.iter().all(|server| server.warm)
+                && (servers || !expected)
+                && !(own && self.service.left());
+            let clients = seen.clients + elder + if own { looked.connections as u64 } else { 0 };
+            let report: Option<Report> = self.belief.report(&name, clients, warm);
+            reports.extend(report.map(|report| (name, report)));
+        }
+        let machines = self.machines(looked);
+        let up = |name: &&Name| {
+            let seen = looked.machines.get(*name);
+            seen.is_none_or(|seen| {
+                seen.servers
+                    .iter()
+                    .any(|server| server.up && !server.banned)
+            })
+        };
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or(Duration::ZERO);
+        Local {
+            heard: if self.stuck { 0 } else { self.belief.at() },
+            reports: if self.stuck { BTreeMap::new() } else { reports },
+            up: machines.keys().filter(up).cloned().collect(),
+            machines,
+            serves_nobody: self.service.closed() && looked.connections == 0 && elder == 0,
+            wall: wall.as_millis() as u64,
+        }
+    }
+
+    /// All machines: those of the lists, and those that the file names.
+    fn machines(&self, looked: &Looked) -> BTreeMap<Name, Machine> {
+        let server = |seen: &violetwind_engine::SeenServer| Server {
+            name: seen.uid.clone(),
+            kind: seen.kind.clone().unwrap_or_default(),
+            room: (seen.rating.filter(|room| *room > 0.0).unwrap_or(1.0) * 1000.0) as u64,
+        };
+        let mut machines: BTreeMap<Name, Machine> = BTreeMap::new();
+        for (name, seen) in looked
+            .machines
+            .iter()
+            .filter(|(_, seen)| !seen.servers.is_empty())
+        {
+            let machine = Machine {
+                zone: seen.zone.clone().unwrap_or_default(),
+                servers: seen.servers.iter().map(server).collect(),
+                proxy: None,
+            };
+            machines.insert(name.clone(), machine);
+        }
+        for (name, (zone, proxy)) in &self.work.named {
+            let machine = machines.entry(name.clone()).or_default();
+            if let Some(zone) = zone {
+                machine.zone.clone_from(zone);
+            }
+            machine.proxy = proxy
+                .clone()
+                .map(|proxy| (proxy.clone(), self.votes.contains(&proxy)));
+        }
+        machines
+    }
+}
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -52,6 +52,7 @@
 use crate::first_lines::FirstLines;
 use crate::fleet::Fleet;
 use crate::fleet::allowances::Allowances;
+use crate::fleet::shift::Shift;
 use crate::handover::{Before, Side};
 use crate::limits::{Descriptors, Limits};
 use crate::operator::{Layers, Operator};
@@ -165,6 +166,7 @@
         service: limits.service.clone(),
         bans: before.bans.clone(),
         left: before.left,
+        machines: operator.machines(),
     };
     let probes = Probes::new(limits.clone(), reports, notices.clone());
     let engine = Engine::new(setup, Clock::new(), probes);
@@ -193,10 +195,10 @@
         None => None,
     };
     let told = (before.bans, before.left, before.discovery);
-    let (fleet, parts) = match &operator.fleet {
+    let (fleet, told_by_fleet) = match &operator.fleet {
         Some(settings) => {
-            let (fleet, parts) = Fleet::start(settings.clone(), &config.name)?;
-            (Some(fleet), Some(parts))
+            let (fleet, told) = Fleet::start(settings.clone(), &config.name)?;
+            (Some(fleet), Some(told))
         }
         None => (None, None),
     };
@@ -206,7 +208,13 @@
         is_ready.clone(),
         dir.clone(),
         told,
-        fleet.clone(),
+        (
+            fleet.clone(),
+            operator
+                .fleet
+                .as_ref()
+                .is_some_and(|fleet| fleet.work.is_some()),
+        ),
     );
     service.set_elder(before.elder.is_some());
     let engine_too = notices.clone();
@@ -220,10 +228,18 @@
         recording,
     );
     let engine = tokio::task::spawn_local(engine.run(inbox, known.rows, ready.clone()));
-    if let (Some(settings), Some(fleet), Some(parts)) = (&operator.fleet, fleet, parts) {
+    let mut shift = None;
+    if let (Some(settings), Some(fleet), Some(told)) = (&operator.fleet, fleet, told_by_fleet) {
+        shift = Shift::new(
+            settings,
+            &config.name,
+            (fleet.clone(), told.lists),
+            notices.clone(),
+            service.clone(),
+        );
         let counted = Allowances::new(
             settings,
-            (fleet, parts),
+            (fleet, told.parts),
             notices.clone(),
             in_force.clone(),
             service.clone(),
@@ -264,6 +280,9 @@
         shared: shared.clone(),
         accepting,
     });
+    if let Some(shift) = &mut shift {
+        shift.begin(before.elder.is_some()).await;
+    }
     if let Some(elder) = before.elder {
         let succeed = elder.hear(side.clone());
         // Without discovery's own list in time the last known one must do, as at any start.
@@ -271,14 +290,24 @@
         let _ = timeout(limits.successor_list, listed.wait_for(|listed| *listed)).await;
         ready.send_replace(true);
         succeed().await;
+        if let Some(shift) = &mut shift {
+            shift.again().await;
+        }
+    }
+    if let Some(shift) = shift {
+        tokio::task::spawn_local(shift.run());
     }
     tokio::task::spawn_local(take_in::accept(listener.clone(), is_accepting, shared));
     service.set_stand(Stand::Serving);
     if let Some(dir) = dir {
-        tokio::task::spawn_local(handover::offer(dir, listener, side));
+        tokio::task::spawn_local(handover::offer(dir, listener, side.clone()));
     }
     let longest = || in_force.get().longest_deadline;
-    let ended = shutdown::wait(limits, (requests, first_lines), notices, longest, &service);
+    let close = || {
+        side.accepting.send_replace(false);
+    };
+    let held = (requests, first_lines, close);
+    let ended = shutdown::wait(limits, held, notices, longest, &service);
     tokio::select! {
         ended = ended => ended,
         // Only a panic in the module ends it.
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -120,6 +120,12 @@
 }
 
 impl Operator {
+    /// Which machine each server is on.
+    pub fn machines(&self) -> violetwind_service::Machines {
+        let work = self.fleet.as_ref().and_then(|fleet| fleet.work.as_ref());
+        work.map(|work| work.machines.clone()).unwrap_or_default()
+    }
+
     fn read(root: &Section<'_>) -> Self {
         let log = root.section("log");
         let levels = [
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -13,6 +13,7 @@
 use tracing::{info, warn};
 use violetwind_engine::{Binding, Notice, Reply};
 use violetwind_fleet as fleet;
+use violetwind_fleet::work::Staff;
 use violetwind_service::call::{self, Call};
 use violetwind_service::{Bans, Change, handover};
 
@@ -52,6 +53,10 @@
     /// The way for connections to a successor that serves.
     heir: RefCell<Option<mpsc::Sender<Given>>>,
     fleet: Option<Fleet>,
+    /// Whether it takes part in work on machines.
+    works: bool,
+    /// Nobody is let in any more, and the process is about to end.
+    closed: Cell<bool>,
     /// The process before this one of an upgrade has not gone yet.
     elder: Cell<bool>,
 }
@@ -63,7 +68,7 @@
         ready: watch::Receiver<bool>,
         dir: Option<PathBuf>,
         (bans, left, discovery): (Bans, bool, Option<SocketAddr>),
-        fleet: Option<Fleet>,
+        (fleet, works): (Option<Fleet>, bool),
     ) -> Rc<Self> {
         Rc::new(Self {
             limits: limits.clone(),
@@ -78,6 +83,8 @@
             next_other: Cell::default(),
             heir: RefCell::default(),
             fleet,
+            works,
+            closed: Cell::new(false),
             elder: Cell::new(false),
         })
     }
@@ -98,11 +105,24 @@
             match stand {
                 Stand::Starting => {}
                 Stand::Serving => fleet.begin(),
-                Stand::Succeeded | Stand::Ending => fleet.quit(),
+                Stand::Succeeded => fleet.quit(false),
+                Stand::Ending => fleet.quit(self.works),
             }
         }
     }
 
+    pub fn works(&self) -> bool {
+        self.works
+    }
+
+    pub fn closed(&self) -> bool {
+        self.closed.get()
+    }
+
+    pub fn set_closed(&self) {
+        self.closed.set(true);
+    }
+
     pub fn set_elder(&self, is_there: bool) {
         self.elder.set(is_there);
     }
@@ -195,11 +215,15 @@
                 }
             }
             call::Fleet::Give { budget, token } => fleet::Call::Give { budget, token },
+            call::Fleet::Work(work) => staff_call(work),
         };
         match fleet.call(call).await? {
             fleet::Answer::View(view) => {
                 serde_json::to_string(&view).map_err(|error| error.to_string())
             }
+            fleet::Answer::WorkView(view) => {
+                serde_json::to_string(&view).map_err(|error| error.to_string())
+            }
             fleet::Answer::Done => Ok("done".into()),
             fleet::Answer::Held { fence, left } => {
                 Ok(serde_json::json!({"fence": fence, "left_ms": left}).to_string())
@@ -300,6 +324,39 @@
     }
 }
 
+/// Staff's word on orders, for the fleet.
+fn staff_call(work: call::Work) -> fleet::Call {
+    use violetwind_workorders::{Bounds, Order, Spans};
+    let staff = match work {
+        call::Work::Show => return fleet::Call::WorkView,
+        call::Work::Plan(plan) => Staff::Plan(Order {
+            name: plan.name,
+            machines: plan.machines,
+            bounds: Bounds {
+                most: plan.most,
+                zone_most: plan.zone_most,
+                floor: plan.floor,
+                spare: plan.spare,
+            },
+            spans: Spans {
+                leave: plan.leave_ms,
+                work: plan.work_ms,
+                back: plan.back_ms,
+            },
+            not_before: plan.not_before,
+            paused: false,
+            cancelled: false,
+        }),
+        call::Work::Pause(order) => Staff::Pause(order, true),
+        call::Work::Resume(order) => Staff::Pause(order, false),
+        call::Work::Cancel(order) => Staff::Cancel(order),
+        call::Work::Done(machine) => Staff::Done(machine),
+        call::Work::Failed(machine) => Staff::Failed(machine),
+        call::Work::Recall(machine) => Staff::Recall(machine),
+    };
+    fleet::Call::Staff(staff)
+}
+
 fn bans_file(dir: &Path) -> PathBuf {
     dir.join("violetwind.bans")
 }
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -16,7 +16,7 @@
 /// Returns when the process is to end.
 pub async fn wait(
     limits: Rc<Limits>,
-    (requests, first_lines): (Descriptors, FirstLines),
+    (requests, first_lines, close): (Descriptors, FirstLines, impl Fn()),
     engine: mpsc::Sender<Notice>,
     longest_deadline: impl Fn() -> Secs,
     service: &Service,
@@ -42,10 +42,18 @@
     let (from, until) = (asked + limits.term_least, asked + term.exit);
     sleep_until(from).await;
     // One is always held by the listener for the next client.
-    let busy = || requests.in_use() > 0 || first_lines.held() > 1 || service.hands_on();
-    while Instant::now() < until && busy() {
+    let clients = || requests.in_use() > 0 || first_lines.held() > 1;
+    // Where it takes part in work it hands on what is left once it serves nobody.
+    while Instant::now() < until && (clients() || (!service.works() && service.hands_on())) {
         tokio::time::sleep(limits.engine.spread_tick).await;
     }
+    if service.works() && !clients() {
+        close();
+        service.set_closed();
+        while Instant::now() < until && service.hands_on() {
+            tokio::time::sleep(limits.engine.spread_tick).await;
+        }
+    }
     info!(
         descriptors = requests.in_use(),
         first_lines = first_lines.held(),
--- a/crates/proxy/src/staff.rs
+++ b/crates/proxy/src/staff.rs
@@ -10,7 +10,7 @@
 use rustix::process::{Pid, Signal, kill_process_group};
 use serde_json::Value;
 
-use crate::cli::{Fleet, Hold};
+use crate::cli::{Fleet, Hold, Plan, Work};
 
 /// An answer is due within 1 s; it holds a whole fleet at most.
 const PATIENCE: Duration = Duration::from_millis(1500);
@@ -97,12 +97,155 @@
     }
 }
 
-fn shown(view: &Value) -> String {
-    let word = |value: &Value| match value {
+/// Carries out one of `violetwind work …`, with the same codes.
+pub fn work(command: Work) -> ExitCode {
+    let order = |order: Option<u64>| order.map_or(String::new(), |order| order.to_string());
+    let (at, line, show) = match command {
+        Work::Plan(plan) => (plan.at.at, plan_line(&plan), None),
+        Work::Show { at, json } => (at.at, "FLEET WORK".into(), Some(json)),
+        Work::Pause(of) => (
+            of.at.at,
+            format!("FLEET WORK PAUSE {}", order(of.order)),
+            None,
+        ),
+        Work::Resume(of) => (
+            of.at.at,
+            format!("FLEET WORK RESUME {}", order(of.order)),
+            None,
+        ),
+        Work::Cancel(of) => (
+            of.at.at,
+            format!("FLEET WORK CANCEL {}", order(of.order)),
+            None,
+        ),
+        Work::Done(of) => (of.at.at, format!("FLEET WORK DONE {}", of.machine), None),
+        Work::Failed(of) => (of.at.at, format!("FLEET WORK FAILED {}", of.machine), None),
+        Work::Recall(of) => (of.at.at, format!("FLEET WORK RECALL {}", of.machine), None),
+    };
+    match call(at, &line) {
+        Ok(Said::Yes(word)) => {
+            let view = serde_json::from_str(&word).ok();
+            match view.filter(|_| show == Some(false)) {
+                Some(view) => print!("{}", work_shown(&view)),
+                None => println!("{word}"),
+            }
+            ExitCode::SUCCESS
+        }
+        Ok(Said::No(why)) => {
+            eprintln!("violetwind: {why}");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("violetwind: {error}");
+            ExitCode::from(NO_PROXY)
+        }
+    }
+}
+
+fn plan_line(plan: &Plan) -> String {
+    let ms = |seconds: f64| (seconds.max(0.0) * 1000.0) as u64;
+    format!(
+        "FLEET WORK PLAN {} {} most={} zone-most={} floor={} spare={} not-before={} leave={} work={} back={}",
+        plan.name,
+        plan.machines,
+        plan.most,
+        plan.zone_most,
+        (plan.floor * 1000.0).round() as i64,
+        u8::from(plan.spare),
+        ms(plan.not_before),
+        ms(plan.leave),
+        ms(plan.work),
+        ms(plan.back),
+    )
+}
+
+fn work_shown(view: &Value) -> String {
+    let words = |list: &Value| {
+        let names = list.as_array().into_iter().flatten();
+        let names: Vec<&str> = names.filter_map(Value::as_str).collect();
+        match names.is_empty() {
+            true => "none".to_string(),
+            false => names.join(", "),
+        }
+    };
+    let mut out = format!("out: {}\n", words(&view["out"]));
+    if view["settled"] != true {
+        let why = view["why"].as_str().unwrap_or("");
+        return out + &format!("as this proxy goes by it; the fleet has not answered: {why}\n");
+    }
+    out += &format!(
+        "conducted by {}; {} have to confirm\n",
+        cell(&view["conductor"]),
+        words(&view["serving"])
+    );
+    for order in view["orders"].as_array().into_iter().flatten() {
+        out += &format!(
+            "\norder {} {}: {}, {} out at most, {} in a zone, {} of the room stays in{}\n",
+            order["number"],
+            cell(&order["name"]),
+            cell(&order["state"]),
+            order["most"],
+            order["zone_most"],
+            order["floor"].as_f64().unwrap_or(0.0) / 1000.0,
+            if order["spare"] == true {
+                " with one more lost"
+            } else {
+                ""
+            },
+        );
+        let columns = [
+            ("MACHINE", "name"),
+            ("ZONE", "zone"),
+            ("PLACE", "phase"),
+            ("WAITS FOR", "why"),
+        ];
+        out += &table(&order["machines"], &columns);
+    }
+    for order in view["ended"].as_array().into_iter().flatten() {
+        out += &format!(
+            "order {} {}: ended, {} done, {} spared\n",
+            order["number"],
+            cell(&order["name"]),
+            order["done"],
+            order["spared"]
+        );
+    }
+    out
+}
+
+fn cell(value: &Value) -> String {
+    match value {
         Value::Null => "-".to_string(),
         Value::String(text) => text.clone(),
         other => other.to_string(),
-    };
+    }
+}
+
+/// Rows under heads, as wide as they need; nothing of an empty list.
+fn table(list: &Value, columns: &[(&str, &str)]) -> String {
+    let heads = columns.iter().map(|(head, _)| head.to_string());
+    let mut rows = vec![heads.collect::<Vec<_>>()];
+    let list = list.as_array().into_iter().flatten();
+    rows.extend(list.map(|row| columns.iter().map(|(_, key)| cell(&row[*key])).collect()));
+    if rows.len() == 1 {
+        return String::new();
+    }
+    let width = |at: usize| rows.iter().map(|row| row[at].len()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..columns.len()).map(width).collect();
+    let mut out = String::new();
+    for row in rows {
+        let cells = row
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:width$}"));
+        out += cells.collect::<Vec<_>>().join("  ").trim_end();
+        out.push('\n');
+    }
+    out
+}
+
+fn shown(view: &Value) -> String {
+    let word = cell;
     let majority = if view["majority"] == true {
         ""
     } else {
@@ -117,28 +260,10 @@
     if let Some(why) = view["why"].as_str() {
         out += &format!("{why}\n");
     }
-    let mut table = |list: &Value, columns: &[(&str, &str)]| {
-        let mut rows = vec![
-            columns
-                .iter()
-                .map(|(head, _)| head.to_string())
-                .collect::<Vec<_>>(),
-        ];
-        let list = list.as_array().into_iter().flatten();
-        rows.extend(list.map(|row| columns.iter().map(|(_, key)| word(&row[*key])).collect()));
-        if rows.len() == 1 {
-            return;
-        }
-        let width = |at: usize| rows.iter().map(|row| row[at].len()).max().unwrap_or(0);
-        let widths: Vec<usize> = (0..columns.len()).map(width).collect();
-        out.push('\n');
-        for row in rows {
-            let cells = row
-                .iter()
-                .zip(&widths)
-                .map(|(cell, width)| format!("{cell:width$}"));
-            out += cells.collect::<Vec<_>>().join("  ").trim_end();
-            out.push('\n');
+    let mut section = |list: &Value, columns: &[(&str, &str)]| {
+        let rows = table(list, columns);
+        if !rows.is_empty() {
+            out += &format!("\n{rows}");
         }
     };
     let members = [
@@ -147,14 +272,14 @@
         ("STATE", "state"),
         ("SINCE MS", "since_ms"),
     ];
-    table(&view["members"], &members);
+    section(&view["members"], &members);
     let duties = [
         ("DUTY", "name"),
         ("HOLDER", "holder"),
         ("FENCE", "fence"),
         ("HERE", "mine"),
     ];
-    table(&view["duties"], &duties);
+    section(&view["duties"], &duties);
     let budgets = [
         ("BUDGET", "name"),
         ("WHOLE", "whole"),
@@ -165,7 +290,7 @@
         ("USED HERE", "used_here"),
         ("ALLOWED HERE", "allowed_here"),
     ];
-    table(&view["budgets"], &budgets);
+    section(&view["budgets"], &budgets);
     out
 }
 
--- a/crates/proxy/tests/duties.rs
+++ b/crates/proxy/tests/duties.rs
@@ -26,6 +26,7 @@
         lease_ms: LEASE,
         election_ms: ELECTION,
         duties: vec!["export".into()],
+        cold_s: 4.0,
         fleet_lines: String::new(),
         lines: String::new(),
     }
--- a/crates/service/src/call.rs
+++ b/crates/service/src/call.rs
@@ -1,5 +1,6 @@
 //! The operators' calls: one line in, one verb and at most one id.
 
+use std::collections::BTreeSet;
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -48,6 +49,38 @@
         budget: String,
         token: String,
     },
+    Work(Work),
+}
+
+/// What staff want of orders for work on machines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Work {
+    Show,
+    Plan(Plan),
+    /// Of one order, or of all.
+    Pause(Option<u64>),
+    Resume(Option<u64>),
+    Cancel(Option<u64>),
+    Done(String),
+    Failed(String),
+    Recall(String),
+}
+
+/// An order as staff word it; what is not said has its default.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    pub name: String,
+    pub machines: BTreeSet<String>,
+    pub most: u32,
+    pub zone_most: u32,
+    /// Thousandths.
+    pub floor: u32,
+    pub spare: bool,
+    /// Unix time in milliseconds.
+    pub not_before: u64,
+    pub leave_ms: u64,
+    pub work_ms: u64,
+    pub back_ms: u64,
 }
 
 /// What operators have changed; it binds a proxy and its successor alike.
@@ -69,6 +102,9 @@
     LongId,
     TooMany,
     NoFleetCall,
+    NoWorkCall,
+    NoMachines,
+    NoBound,
 }
 
 impl fmt::Display for Fault {
@@ -82,7 +118,18 @@
             Self::TooMany => "too many words",
             Self::NoFleetCall => {
                 "after FLEET: nothing, LET-IN NODE, PUT-OUT NODE, GONE NODE, HAND-ON DUTY [NODE], HOLD DUTY TOKEN, \
-                 DONE DUTY TOKEN, TAKE BUDGET TOKEN [MS] or GIVE BUDGET TOKEN"
+                 DONE DUTY TOKEN, TAKE BUDGET TOKEN [MS], GIVE BUDGET TOKEN or WORK"
+            }
+            Self::NoWorkCall => {
+                "after FLEET WORK: nothing, PLAN NAME MACHINES [BOUND=NUMBER]..., PAUSE [ORDER], RESUME [ORDER], \
+                 CANCEL [ORDER], DONE MACHINE, FAILED MACHINE or RECALL MACHINE"
+            }
+            Self::NoMachines => {
+                "machines are names with commas between them, or ranges such as m-1..m-12, 1000 at most"
+            }
+            Self::NoBound => {
+                "bounds are most, zone-most (1 and more), floor (0 to 1000), spare (0 or 1), not-before (ms since 1970), \
+                 leave, work and back (ms), each with a number, once"
             }
         })
     }
@@ -191,6 +238,101 @@
             budget: own(budget),
             token: own(token),
         },
+        ["WORK", ref rest @ ..] => Fleet::Work(work(rest)?),
         _ => return Err(Fault::NoFleetCall),
     })
 }
+
+/// Machines of one call at most.
+const MACHINES: usize = 1000;
+
+fn work(words: &[&str]) -> Result<Work, Fault> {
+    let own = |word: &str| word.to_string();
+    let order = |words: &[&str]| match words {
+        [] => Ok(None),
+        [number] => number.parse().map(Some).map_err(|_| Fault::NoWorkCall),
+        _ => Err(Fault::TooMany),
+    };
+    Ok(match *words {
+        [] => Work::Show,
+        ["PLAN", name, machines, ref bounds @ ..] => Work::Plan(plan(name, machines, bounds)?),
+        ["PAUSE", ref rest @ ..] => Work::Pause(order(rest)?),
+        ["RESUME", ref rest @ ..] => Work::Resume(order(rest)?),
+        ["CANCEL", ref rest @ ..] => Work::Cancel(order(rest)?),
+        ["DONE", machine] => Work::Done(own(machine)),
+        ["FAILED", machine] => Work::Failed(own(machine)),
+        ["RECALL", machine] => Work::Recall(own(machine)),
+        _ => return Err(Fault::NoWorkCall),
+    })
+}
+
+fn plan(name: &str, list: &str, bounds: &[&str]) -> Result<Plan, Fault> {
+    let hour = 3_600_000;
+    let mut plan = Plan {
+        name: name.to_string(),
+        machines: machines(list)?,
+        most: 1,
+        zone_most: 1,
+        floor: 800,
+        spare: false,
+        not_before: 0,
+        leave_ms: hour / 4,
+        work_ms: 12 * hour,
+        back_ms: hour / 2,
+    };
+    let mut said = BTreeSet::new();
+    for bound in bounds {
+        let (key, number) = bound.split_once('=').ok_or(Fault::NoBound)?;
+        let number: u64 = number.parse().map_err(|_| Fault::NoBound)?;
+        let small = |from: u64, to: u64| match (from..=to).contains(&number) {
+            true => Ok(number as u32),
+            false => Err(Fault::NoBound),
+        };
+        match key {
+            _ if !said.insert(key) => return Err(Fault::NoBound),
+            "most" => plan.most = small(1, 10_000)?,
+            "zone-most" => plan.zone_most = small(1, 10_000)?,
+            "floor" => plan.floor = small(0, 1000)?,
+            "spare" => plan.spare = small(0, 1)? == 1,
+            "not-before" => plan.not_before = number,
+            "leave" => plan.leave_ms = number,
+            "work" => plan.work_ms = number,
+            "back" => plan.back_ms = number,
+            _ => return Err(Fault::NoBound),
+        }
+    }
+    Ok(plan)
+}
+
+/// Names with commas between them; of a range both ends have the same words around a number.
+pub fn machines(list: &str) -> Result<BTreeSet<String>, Fault> {
+    let mut names = BTreeSet::new();
+    for part in list.split(',') {
+        match part.split_once("..") {
+            None if part.is_empty() => return Err(Fault::NoMachines),
+            None => drop(names.insert(part.to_string())),
+            Some((first, last)) => {
+                let number = |name: &str| {
+                    let digits = name.bytes().rev().take_while(u8::is_ascii_digit).count();
+                    let (stem, number) = name.split_at(name.len() - digits);
+                    Some((
+                        stem.to_string(),
+                        number.len(),
+                        number.parse::<usize>().ok()?,
+                    ))
+                };
+                let ends = number(first).zip(number(last));
+                let ((stem, width, from), (other, _, to)) = ends.ok_or(Fault::NoMachines)?;
+                if stem != other || from > to || to - from >= MACHINES {
+                    return Err(Fault::NoMachines);
+                }
+                // As wide as the first: m-01..m-12 begins with a nought.
+                names.extend((from..=to).map(|at| format!("{stem}{at:0width$}")));
+            }
+        }
+    }
+    match names.len() <= MACHINES {
+        true => Ok(names),
+        false => Err(Fault::NoMachines),
+    }
+}
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -1,5 +1,5 @@
 //! What settles the day-to-day service of a proxy, without I/O, clock or chance: the operators' calls
-//! ([`call`]), the servers they keep out ([`bans`]), how a proxy is emptied ([`leaving`]), and what a proxy
+//! ([`call`]), the servers they keep out ([`bans`]), machines that orders have out ([`machines`]), how a proxy is emptied ([`leaving`]), and what a proxy
 //! and its successor say to each other ([`handover`]).
 
 pub mod bans;
@@ -7,11 +7,13 @@
 pub mod handover;
 pub mod leaving;
 mod limits;
+pub mod machines;
 
 pub use bans::{Bans, Kept};
 pub use call::{Call, Calls, Change};
 pub use leaving::taking;
 pub use limits::Limits;
+pub use machines::{Machines, Outs};
 
 /// Unix time in milliseconds.
 pub type Millis = u64;
--- a/crates/service/src/limits.rs
+++ b/crates/service/src/limits.rs
@@ -8,6 +8,8 @@
     pub id_bytes: usize,
     /// Servers that may be out at once, and as many that are remembered as back.
     pub bans: usize,
+    /// Servers on machines that orders have out whose times are remembered, and as many that have come back.
+    pub outs: usize,
     /// The longest message between a proxy and its successor, and the longest file of bans.
     pub frame_bytes: usize,
     /// After `LEAVE`: the front has stopped sending new clients; standing ones are moved from here to there.
@@ -25,6 +27,7 @@
             call_bytes: 1024,
             id_bytes: 512,
             bans: 1024,
+            outs: 16_384,
             frame_bytes: 2 << 20,
             // The front asks ten times a second and stops 0.2 s after a no; at 4 s nothing may be held.
             leave_serve: ms(400),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,6 +16,7 @@
 mod registry;
 pub mod relay;
 mod server;
+pub mod shift;
 mod vanished;
 pub mod worker;
 
--- a/crates/standins/src/members.rs
+++ b/crates/standins/src/members.rs
@@ -24,6 +24,8 @@
     pub lease_ms: u64,
     pub election_ms: u64,
     pub duties: Vec<String>,
+    /// How long a server that was started is cold.
+    pub cold_s: f64,
     /// More lines for everybody's `[fleet]` section, and behind all of the file.
     pub fleet_lines: String,
     pub lines: String,
@@ -116,6 +118,20 @@
         self.discovery.tell(row);
     }
 
+    /// Lists another server, or the same with other words, for all.
+    pub fn list(&self, target: Value) {
+        self.discovery.tell(target);
+    }
+
+    /// The proxies' log lines with a message, as the node and the line.
+    pub fn lines(&self, message: &str) -> Vec<(usize, Value)> {
+        let logs = self.logs.lock().unwrap();
+        let lines = logs.iter().filter(|(_, line)| line.contains(message));
+        lines
+            .filter_map(|(at, line)| Some((*at, serde_json::from_str(line).ok()?)))
+            .collect()
+    }
+
     pub fn count(&self) -> usize {
         self.processes.len()
     }
@@ -159,7 +175,7 @@
                 "permissions": {"probes": true, "cancel": true, "retry-after": true, "max-attempts": 4,
                                 "max-retry-after-s": 1.0, "connect-timeout-s": 0.2},
                 "membership-mode": "on_request",
-                "rules": {"ask-within-s": 5.0, "cold-from": 0.5, "cold-s": 4.0, "fall-multiple": 3.0,
+                "rules": {"ask-within-s": 5.0, "cold-from": 0.5, "cold-s": self.spec.cold_s, "fall-multiple": 3.0,
                           "overload-for-s": 1.5, "drain-grace-s": 0.3},
                 "weights": "none", "family-info": {"groups": false}},
         });
@@ -187,7 +203,10 @@
         for duty in &spec.duties {
             file += &format!("[[fleet.duty]]\nname = \"{duty}\"\n");
         }
-        std::fs::write(process.dir.join("operator.toml"), file + &spec.lines).unwrap();
+        // Whatever each member keeps for itself.
+        let own = process.dir.join("work.out").display().to_string();
+        let lines = spec.lines.replace("FILE", &own);
+        std::fs::write(process.dir.join("operator.toml"), file + &lines).unwrap();
     }
 
     /// Gives a member a file with other last lines, for its next process.
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::mono_ms;
+
 /// How it goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -19,6 +21,15 @@
     Slow(Duration),
 }
 
+/// A client's connection here, by the clock that all processes of the machine share; it lasts until `u64::MAX` for as
+/// long as it is open.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Visit {
+    pub id: String,
+    pub from: u64,
+    pub until: u64,
+}
+
 #[derive(Debug)]
 struct State {
     fault: Fault,
@@ -26,6 +37,8 @@
     open: usize,
     /// When each `OPEN` came.
     opened: Vec<Instant>,
+    /// Each connection that was taken.
+    visits: Vec<Visit>,
     streams: Vec<TcpStream>,
 }
 
@@ -45,6 +58,7 @@
             room,
             open: 0,
             opened: Vec::new(),
+            visits: Vec::new(),
             streams: Vec::new(),
         };
         let worker = Self {
@@ -82,6 +96,11 @@
         self.state().open
     }
 
+    /// Every connection that it has taken, in their order.
+    pub fn visits(&self) -> Vec<Visit> {
+        self.state().visits.clone()
+    }
+
     /// How many `OPEN` lines have come after a moment.
     pub fn opened_after(&self, moment: Instant) -> usize {
         let state = self.state();
@@ -94,7 +113,7 @@
             return;
         };
         let mut reader = BufReader::new(stream);
-        let mut up = false;
+        let mut up = None;
         let mut line = String::new();
         while reader.read_line(&mut line).unwrap_or(0) > 0 {
             let fault = self.state().fault;
@@ -103,7 +122,7 @@
             }
             let answer = match line.split(' ').next().map(str::trim) {
                 _ if fault == Fault::Silent => None,
-                Some("OPEN") => Some(self.take(&out, fault, &mut up)),
+                Some("OPEN") => Some(self.take(&out, fault, &line, &mut up)),
                 Some("PING" | "STATS") => {
                     let state = self.state();
                     let load = state.open as f64 / state.room.max(1) as f64;
@@ -117,12 +136,14 @@
                 break;
             }
         }
-        if up {
-            self.state().open -= 1;
+        if let Some(visit) = up {
+            let mut state = self.state();
+            state.open -= 1;
+            state.visits[visit].until = mono_ms();
         }
     }
 
-    fn take(&self, stream: &TcpStream, fault: Fault, up: &mut bool) -> String {
+    fn take(&self, stream: &TcpStream, fault: Fault, line: &str, up: &mut Option<usize>) -> String {
         let mut state = self.state();
         state.opened.push(Instant::now());
         if fault == Fault::Failing {
@@ -132,7 +153,12 @@
             return "BUSY".into();
         }
         state.open += 1;
-        *up = true;
+        *up = Some(state.visits.len());
+        state.visits.push(Visit {
+            id: line.split_whitespace().nth(1).unwrap_or_default().into(),
+            from: mono_ms(),
+            until: u64::MAX,
+        });
         let receipt = state.opened.len();
         state.streams.extend(stream.try_clone());
         format!("UP {}-{receipt}", self.uid)
--- a/crates/storm/src/fleet.rs
+++ b/crates/storm/src/fleet.rs
@@ -1,6 +1,8 @@
 //! Whole members in simulated time: One Holder, Fencing and Held Again are checked from outside at every step,
 //! programs that work on a duty included; clocks of processes start anywhere and run apart.
 
+mod proxies;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
@@ -13,6 +15,8 @@
     Saved, Why,
 };
 
+pub use proxies::{Proxy, Shift};
+
 pub const STEP: Millis = 5;
 
 /// What is wrong with a host on purpose.
@@ -30,6 +34,10 @@
     DeafProgram,
     /// One unit in fifty is used without being asked for.
     ExtraUnit,
+    /// A proxy confirms that a machine is closed, and empty, before it is.
+    HastyProxy,
+    /// A proxy confirms what it has not written down, and starts anew by an older list.
+    ForgetfulProxy,
 }
 
 /// A process's clock against true time, in parts per thousand.
@@ -108,6 +116,8 @@
     pub lost: usize,
     pub leads: usize,
     pub answers: BTreeMap<Number, Answer>,
+    /// Machines that are worked on, if there are any.
+    pub shift: Option<Shift>,
     pub budgets: Vec<Def>,
     /// Budgets that are counted outside of the member, as the proxy's own module counts.
     pub outside: BTreeSet<Name>,
@@ -194,6 +204,7 @@
             lost: 0,
             leads: 0,
             answers: BTreeMap::new(),
+            shift: None,
             budgets,
             outside: BTreeSet::new(),
             pressed: usize::MAX,
@@ -252,6 +263,7 @@
         }
         let host = self.hosts.get_mut(name).unwrap();
         let config = Config {
+            work: self.shift.is_some(),
             node: name.to_string(),
             peers: self.peers.clone(),
             duties: self.duties.clone(),
@@ -301,6 +313,8 @@
         host.words.clear();
         host.used.clear();
         let unsynced: Vec<_> = host.unsynced.drain(..).collect();
+        self.proxy_killed(name);
+        let host = self.hosts.get_mut(name).unwrap();
         if let Some(saved) = host
             .saved
             .as_mut()
@@ -375,8 +389,11 @@
             self.work(name);
             self.count_outside(name);
             self.use_budgets(name);
+            self.serve(name);
         }
+        self.staff();
         self.check();
+        self.check_work();
     }
 
     /// Programs ask again and again whether they may go on.
@@ -657,6 +674,7 @@
                     host.parts.insert(budget.clone(), part);
                     host.words.push_back((now + late, budget, number));
                 }
+                Output::Work(version, list) => self.proxy_told(name, version, list),
                 Output::Event(event) => self.event(name, event),
                 Output::Ended => {
                     let host = self.hosts.get_mut(name).unwrap();
@@ -882,6 +900,7 @@
                     let away = self.rng.random_range(1..2000);
                     self.hosts.get_mut(&name).unwrap().back = Some(self.now + 2500 + away);
                 }
+                31..33 => self.machine_fault(),
                 _ => {}
             }
             if !self.budgets.is_empty() && self.rng.random_bool(0.1) {
@@ -902,6 +921,7 @@
 
     pub fn heal(&mut self) {
         self.cut.clear();
+        self.machines_up();
         (self.loss, self.delay) = (0.0, (0, 10));
         let now = self.now;
         for host in self.hosts.values_mut() {
--- /dev/null
+++ b/crates/storm/src/fleet/proxies.rs
@@ -0,0 +1,309 @@
+//! What a member's proxy does about work on machines: it goes by the list once that is on disk, serves clients at what is
+//! not out, and reports. Staff plan orders and say what is done. The books are kept from what proxies do.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use rand::Rng;
+use violetwind_consensus::Millis;
+use violetwind_fleet::work::{List, Local, Staff, Work};
+use violetwind_fleet::{Call, Input, Name, Number};
+use violetwind_workorders::{Belief, Bounds, Machine, Order, Phase, Report, Server, Spans};
+
+use super::{Planted, World};
+
+/// One proxy. What is on disk outlives its process.
+#[derive(Clone, Debug, Default)]
+pub struct Proxy {
+    kept: Belief,
+    belief: Belief,
+    clients: BTreeMap<Name, u64>,
+    /// Lists on their way to the disk.
+    writes: VecDeque<(Millis, Number, List)>,
+}
+
+/// Machines, staff, and the books.
+#[derive(Clone, Debug, Default)]
+pub struct Shift {
+    pub machines: BTreeMap<Name, Machine>,
+    pub most: u32,
+    proxies: BTreeMap<Name, Proxy>,
+    /// Machines that are down, and those that are back and cold until then.
+    down: BTreeSet<Name>,
+    cold: BTreeMap<Name, Millis>,
+    phases: BTreeMap<Name, (Number, Phase)>,
+    emptied: BTreeMap<Name, u32>,
+    /// How far the orders were when they were last looked at: who starts anew reads them from the beginning.
+    seen: (Number, Number),
+    pub done: usize,
+    pub steps: usize,
+}
+
+impl Proxy {
+    /// A new process on the same disk.
+    fn restart(&mut self) {
+        *self = Self {
+            belief: self.kept.clone(),
+            kept: self.kept.clone(),
+            ..Self::default()
+        };
+    }
+}
+
+impl World {
+    /// The same with machines, a few to a zone, and one order for all of them.
+    pub fn with_machines(mut self, count: usize, bounds: Bounds) -> Self {
+        let machine = |at: usize| Machine {
+            zone: format!("z-{}", at % 3),
+            servers: vec![Server {
+                name: format!("s-{at}"),
+                kind: "k".into(),
+                room: 10,
+            }],
+            proxy: None,
+        };
+        let machines = (0..count).map(|at| (format!("m-{at}"), machine(at)));
+        self.shift = Some(Shift {
+            machines: machines.collect(),
+            most: bounds.most,
+            proxies: self
+                .hosts
+                .keys()
+                .map(|name| (name.clone(), Proxy::default()))
+                .collect(),
+            ..Shift::default()
+        });
+        self.duties.push(violetwind_fleet::work::DUTY.into());
+        let hosts: Vec<Name> = self.hosts.keys().cloned().collect();
+        for name in hosts {
+            self.kill(&name);
+            self.start(&name);
+        }
+        self
+    }
+
+    /// Staff call for work on all machines at some member.
+    pub fn plan_work(&mut self, at: &str, name: &str, bounds: Bounds) {
+        let machines = self.shift.iter().flat_map(|shift| shift.machines.keys());
+        let order = Order {
+            name: name.into(),
+            machines: machines.cloned().collect(),
+            bounds,
+            spans: Spans {
+                leave: 20_000,
+                work: 20_000,
+                back: 20_000,
+            },
+            not_before: 0,
+            paused: false,
+            cancelled: false,
+        };
+        self.call(at, Call::Staff(Staff::Plan(order)));
+    }
+
+    /// The orders as whoever has applied the most has them.
+    pub fn work_state(&self) -> Option<&Work> {
+        let members = self.hosts.values().filter_map(|host| host.member.as_ref());
+        let states = members.filter_map(|member| Some(member.state()?.work()));
+        states.max_by_key(|work| (work.version, work.roster))
+    }
+
+    pub(super) fn proxy_killed(&mut self, name: &str) {
+        if let Some(proxy) = self.shift.as_mut().and_then(|s| s.proxies.get_mut(name)) {
+            proxy.restart();
+        }
+    }
+
+    pub(super) fn proxy_told(&mut self, name: &str, version: Number, list: List) {
+        let sync = self.hosts[name].sync;
+        let due = self.now + sync;
+        if let Some(proxy) = self.shift.as_mut().and_then(|s| s.proxies.get_mut(name)) {
+            proxy.writes.push_back((due, version, list));
+        }
+    }
+
+    /// A step of one proxy that runs.
+    pub(super) fn serve(&mut self, name: &str) {
+        let Some(mut shift) = self.shift.take() else {
+            return;
+        };
+        let runs = self.hosts[name].member.is_some();
+        let proxy = shift.proxies.get_mut(name).expect("one of each member");
+        let hasty = self.planted == Planted::HastyProxy;
+        while runs
+            && proxy
+                .writes
+                .front()
+                .is_some_and(|(due, ..)| *due <= self.now)
+        {
+            let (_, version, list) = proxy.writes.pop_front().expect("just seen");
+            let forgets = self.planted == Planted::ForgetfulProxy && proxy.kept.at() > 0;
+            if !forgets {
+                proxy.kept.hear(version, list.clone());
+            }
+            // One that confirms first and closes some time later.
+            if !hasty || self.rng.random_bool(0.05) {
+                proxy.belief.hear(version, list);
+            }
+        }
+        // One that knows no list serves nobody yet.
+        if runs && proxy.belief.at() > 0 && self.rng.random_bool(0.2) {
+            let at = self.rng.random_range(0..shift.machines.len());
+            let to = shift.machines.keys().nth(at).expect("in range").clone();
+            if !proxy.belief.closed(&to) && !shift.down.contains(&to) {
+                *proxy.clients.entry(to).or_default() += 1;
+            }
+        }
+        for (machine, clients) in &mut proxy.clients {
+            let leaves = proxy.belief.closed(machine) || *clients > 3;
+            if leaves && self.rng.random_bool(0.1) {
+                *clients = clients.saturating_sub(1);
+            }
+        }
+        let report = runs && self.rng.random_bool(0.1);
+        let local = report.then(|| shift.local(name, self.now, hasty));
+        shift.cold.retain(|_, until| *until > self.now);
+        self.shift = Some(shift);
+        if let Some(local) = local {
+            self.input(name, Input::Work(local));
+        }
+    }
+
+    /// Staff at some member: what is empty is worked on, what has failed is looked after.
+    pub(super) fn staff(&mut self) {
+        let Some(shift) = &self.shift else { return };
+        if !self.rng.random_bool(0.02) {
+            return;
+        }
+        let Some(work) = self.work_state() else {
+            return;
+        };
+        let places = work.orders.orders().values().flat_map(|(_, places)| places);
+        let words = places.filter_map(|(name, place)| match place.phase {
+            Phase::Empty => Some(Staff::Done(name.clone())),
+            Phase::Failed(_) => Some(Staff::Recall(name.clone())),
+            _ => None,
+        });
+        let words: Vec<Staff> = words.collect();
+        let at: Vec<Name> = shift.proxies.keys().cloned().collect();
+        let at = at[self.rng.random_range(0..at.len())].clone();
+        if !words.is_empty() {
+            let word = words[self.rng.random_range(0..words.len())].clone();
+            self.call(&at, Call::Staff(word));
+        }
+    }
+
+    /// Machines die and come back.
+    pub(super) fn machine_fault(&mut self) {
+        let Some(shift) = &mut self.shift else { return };
+        let at = self.rng.random_range(0..shift.machines.len());
+        let name = shift.machines.keys().nth(at).expect("in range").clone();
+        if !shift.down.remove(&name) && shift.down.is_empty() {
+            for proxy in shift.proxies.values_mut() {
+                proxy.clients.remove(&name);
+            }
+            shift.down.insert(name);
+        }
+    }
+
+    pub(super) fn machines_up(&mut self) {
+        if let Some(shift) = &mut self.shift {
+            shift.down.clear();
+        }
+    }
+
+    pub(super) fn check_work(&mut self) {
+        let Some(mut shift) = self.shift.take() else {
+            return;
+        };
+        let wrong = match self.work_state() {
+            Some(work) => shift.check(work, self.now, &self.hosts),
+            None => None,
+        };
+        self.shift = Some(shift);
+        if let Some(what) = wrong {
+            self.found(what);
+        }
+    }
+}
+
+impl Shift {
+    fn local(&self, name: &str, now: Millis, hasty: bool) -> Local {
+        let proxy = &self.proxies[name];
+        let belief = if hasty { &proxy.kept } else { &proxy.belief };
+        let reports = belief.machines().filter_map(|machine| {
+            let clients = proxy.clients.get(machine).copied().unwrap_or(0);
+            let warm = !self.down.contains(machine) && !self.cold.contains_key(machine);
+            let report: Report = belief.report(machine, if hasty { 0 } else { clients }, warm)?;
+            Some((machine.clone(), report))
+        });
+        let up = self
+            .machines
+            .keys()
+            .filter(|name| !self.down.contains(*name));
+        Local {
+            heard: belief.at(),
+            reports: reports.collect(),
+            machines: self.machines.clone(),
+            up: up.cloned().collect(),
+            serves_nobody: false,
+            wall: now,
+        }
+    }
+
+    /// The books against what whoever knows most has.
+    fn check(
+        &mut self,
+        work: &Work,
+        now: Millis,
+        hosts: &BTreeMap<Name, super::Host>,
+    ) -> Option<String> {
+        if (work.version, work.roster) < self.seen {
+            return None;
+        }
+        self.seen = (work.version, work.roster);
+        let mut out: BTreeSet<&Name> = work.orders.out().into_keys().collect();
+        for (name, proxy) in &self.proxies {
+            if hosts[name].member.is_some() {
+                let closed = proxy.belief.machines();
+                out.extend(closed.filter(|machine| proxy.belief.closed(machine)));
+            }
+        }
+        if out.len() > self.most as usize {
+            return Some(format!("Never Too Many Out: {out:?} of {}", self.most));
+        }
+        for (_, places) in work.orders.orders().values() {
+            for (name, place) in places {
+                let known = (place.version, place.phase.clone());
+                let before = self.phases.insert(name.clone(), known.clone());
+                if place.phase == Phase::Empty {
+                    let at = self.proxies.iter().filter(|(_, proxy)| {
+                        proxy.clients.get(name).is_some_and(|clients| *clients > 0)
+                    });
+                    let at: Vec<&Name> = at.map(|(name, _)| name).collect();
+                    if !at.is_empty() {
+                        return Some(format!("Empty Means Empty: {name} has clients of {at:?}"));
+                    }
+                }
+                if before == Some(known) {
+                    continue;
+                }
+                self.steps += 1;
+                match place.phase {
+                    Phase::Empty => {
+                        let times = self.emptied.entry(name.clone()).or_default();
+                        *times += 1;
+                        if *times > 1 {
+                            return Some(format!("Once: {name} was told as empty again"));
+                        }
+                    }
+                    Phase::Returning { .. } => {
+                        self.cold.insert(name.clone(), now + 300);
+                    }
+                    Phase::Done => self.done += 1,
+                    _ => {}
+                }
+            }
+        }
+        None
+    }
+}
--- a/crates/workorders/src/belief.rs
+++ b/crates/workorders/src/belief.rs
@@ -6,7 +6,7 @@
 
 use crate::orders::Orders;
 use crate::planner::Report;
-use crate::words::{Name, Number, Phase};
+use crate::words::{Listed, Name, Number, Phase};
 
 /// The list of what is out as one proxy has heard it. It is kept on disk, and a new process goes by it from before its
 /// first client until it hears a newer one.
@@ -14,8 +14,8 @@
 pub struct Belief {
     /// How far the log was that it was heard from.
     at: Number,
-    /// Machines of orders: the version of the place, and whether the order closes it.
-    places: BTreeMap<Name, (Number, bool)>,
+    /// Machines of orders.
+    places: BTreeMap<Name, Listed>,
     /// Operators' own words at this proxy, which are stronger: open or closed.
     words: BTreeMap<Name, bool>,
 }
@@ -30,16 +30,49 @@
 
 impl Belief {
     /// What the log says of all machines of orders.
-    pub fn list(orders: &Orders) -> BTreeMap<Name, (Number, bool)> {
+    pub fn list(orders: &Orders) -> BTreeMap<Name, Listed> {
         let closes =
             |phase: &Phase| matches!(phase, Phase::Leaving | Phase::Empty | Phase::Failed(_));
         let each = orders.orders().values().flat_map(|(_, places)| places);
-        each.map(|(name, place)| (name.clone(), (place.version, closes(&place.phase))))
-            .collect()
+        each.map(|(name, place)| {
+            let listed = Listed {
+                version: place.version,
+                closed: closes(&place.phase),
+                machine: orders.machines().get(name).cloned().unwrap_or_default(),
+            };
+            (name.clone(), listed)
+        })
+        .collect()
+    }
+
+    pub fn listed(&self, machine: &str) -> Option<&Listed> {
+        self.places.get(machine)
+    }
+
+    /// How far the log was that it was heard from.
+    pub fn at(&self) -> Number {
+        self.at
+    }
+
+    /// Machines that are out here, with what is on them as the log has it.
+    pub fn out(&self) -> impl Iterator<Item = (&Name, &Listed)> {
+        self.places.iter().filter(|(name, _)| self.closed(name))
+    }
+
+    /// Machines that the orders have out, whatever operators say here.
+    pub fn ordered(&self) -> impl Iterator<Item = (&Name, &Listed)> {
+        self.places.iter().filter(|(_, listed)| listed.closed)
+    }
+
+    /// The machine that a proxy runs on, if it is in an order.
+    pub fn machine_of(&self, proxy: &str) -> Option<(&Name, &Listed)> {
+        let runs =
+            |listed: &Listed| matches!(&listed.machine.proxy, Some((name, _)) if name == proxy);
+        self.places.iter().find(|(_, listed)| runs(listed))
     }
 
     /// Takes a list that was true when the log was as far as `at`; an older one than is known is passed over.
-    pub fn hear(&mut self, at: Number, list: BTreeMap<Name, (Number, bool)>) -> Vec<Turn> {
+    pub fn hear(&mut self, at: Number, list: BTreeMap<Name, Listed>) -> Vec<Turn> {
         if at < self.at {
             return Vec::new();
         }
@@ -58,15 +91,15 @@
     pub fn closed(&self, machine: &str) -> bool {
         match self.words.get(machine) {
             Some(open) => !open,
-            None => self.places.get(machine).is_some_and(|(_, closed)| *closed),
+            None => self.places.get(machine).is_some_and(|listed| listed.closed),
         }
     }
 
     /// What this proxy confirms of a machine; none of one that is in no order.
     pub fn report(&self, machine: &str, clients: u64, warm: bool) -> Option<Report> {
-        let (version, _) = self.places.get(machine)?;
+        let listed = self.places.get(machine)?;
         Some(Report {
-            version: *version,
+            version: listed.version,
             clients,
             closed: self.closed(machine),
             warm,
--- a/crates/workorders/src/lib.rs
+++ b/crates/workorders/src/lib.rs
@@ -21,8 +21,8 @@
 
 pub use belief::{Belief, Turn};
 pub use limits::Caps;
-pub use orders::{Orders, Refused};
+pub use orders::{Orders, Place, Refused};
 pub use planner::{Facts, Member, Next, Report, plan};
 pub use words::{
-    Bounds, Change, Machine, Millis, Name, Number, Order, Phase, Server, Spans, Step, Why,
+    Bounds, Change, Listed, Machine, Millis, Name, Number, Order, Phase, Server, Spans, Step, Why,
 };
--- a/crates/workorders/src/orders.rs
+++ b/crates/workorders/src/orders.rs
@@ -124,7 +124,15 @@
                 if machines.len() > Caps::MACHINES || machines.values().any(long) {
                     return Err(Refused::Full("machines"));
                 }
-                self.machines = machines;
+                let before = std::mem::replace(&mut self.machines, machines);
+                // What an order is about stays as it was last told, also where sources have forgotten it.
+                let places = self.orders.values().flat_map(|(_, places)| places.keys());
+                for name in places {
+                    if let Some(machine) = before.get(name) {
+                        let known = self.machines.entry(name.clone());
+                        known.or_insert_with(|| machine.clone());
+                    }
+                }
                 Ok(())
             }
             Change::Plan(order) => self.add(order),
--- a/crates/workorders/src/planner.rs
+++ b/crates/workorders/src/planner.rs
@@ -3,11 +3,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use serde::{Deserialize, Serialize};
+
 use crate::orders::{Orders, Place, Refused};
 use crate::words::{Millis, Name, Number, Phase, Step, Why};
 
 /// What one proxy says of one machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// The version of the machine's place that it goes by.
     pub version: Number,
@@ -34,6 +36,8 @@
     pub wall: Millis,
     /// Machines that are lost, or closed by an operator's own word, whatever orders say.
     pub dead: BTreeSet<Name>,
+    /// Clients at machines whose turn has not come, over all proxies; of those no single reports are needed.
+    pub crowd: BTreeMap<Name, u64>,
     /// For how long each place has had its version, as far as whoever conducts knows.
     pub since: BTreeMap<Number, Millis>,
 }
@@ -72,6 +76,9 @@
     }
 
     fn clients(&self, name: &Name) -> u64 {
+        if let Some(crowd) = self.crowd.get(name) {
+            return *crowd;
+        }
         let of = |member: &Member| member.reports.get(name).map_or(0, |report| report.clients);
         self.members.values().map(of).sum()
     }
--- a/crates/workorders/src/words.rs
+++ b/crates/workorders/src/words.rs
@@ -25,6 +25,16 @@
     pub room: u64,
 }
 
+/// What a proxy goes by of a machine that is in an order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// The version of its place.
+    pub version: Number,
+    /// Nothing new goes there, and what is there is moved.
+    pub closed: bool,
+    pub machine: Machine,
+}
+
 impl Machine {
     pub fn room(&self) -> u64 {
         self.servers.iter().map(|server| server.room).sum()
