Work orders over real processes: halves, pause and cancel, operators' words, proxies' own turns

Found by them and mended: a proxy whose machine is out was left only after its first 0.7 s of clients, so it is left from before the first one now, and told as closed once it takes nothing more; a server that sources have leave kept its machine from ever being back, and from counting as closed by an operator.

--- a/crates/engine/src/engine/machines.rs
+++ b/crates/engine/src/engine/machines.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use tracing::info;
-use violetwind_balancer::api::{ServerId, Status};
+use violetwind_balancer::api::{ServerId, Status, Taking};
 use violetwind_service::Millis;
 
 use super::{Engine, Probe};
@@ -66,6 +66,7 @@
         let mut looked = Looked {
             machines: BTreeMap::new(),
             connections: self.conns.len(),
+            takes_nothing: self.taking == Taking::Nothing,
         };
         let now = self.clock.at(self.now);
         for (server, (uid, _)) in &self.addresses {
@@ -90,6 +91,7 @@
                 rating: row.rating,
                 up,
                 warm: up && warm,
+                draining: row.status == Status::Draining,
                 banned: self.bans.is_out(uid),
                 opened: self.outs.is_opened(uid),
             });
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -75,8 +75,9 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Looked {
     pub machines: BTreeMap<String, Seen>,
-    /// Connections and requests of all clients.
+    /// Connections and requests of all clients, and whether no more are taken.
     pub connections: usize,
+    pub takes_nothing: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -95,6 +96,8 @@
     /// Listed as up, whatever operators and orders say.
     pub up: bool,
     pub warm: bool,
+    /// The sources have it leave, for good as far as they know.
+    pub draining: bool,
     /// Kept out by an operator, or in use by an operator's word though an order has it out.
     pub banned: bool,
     pub opened: bool,
--- a/crates/proxy/src/fleet/shift.rs
+++ b/crates/proxy/src/fleet/shift.rs
@@ -48,6 +48,34 @@
         .map_err(|error| place(&error))
 }
 
+/// The same of a process that begins, told in the log.
+pub fn kept(path: &Path) -> Option<Belief> {
+    match read(path) {
+        Ok(belief) => {
+            let out = belief.iter().flat_map(Belief::ordered);
+            let out: Vec<&Name> = out.map(|(name, _)| name).collect();
+            if !out.is_empty() {
+                let mono_ms = mono_ms();
+                info!(
+                    ?out,
+                    mono_ms, "machines are out, by the file of the last process"
+                );
+            }
+            belief
+        }
+        Err(why) => {
+            error!(why, "what is out can't be read");
+            None
+        }
+    }
+}
+
+/// Whether the machine that a proxy runs on is out.
+pub fn is_out(belief: &Belief, proxy: &str) -> bool {
+    let own = belief.machine_of(proxy);
+    own.is_some_and(|(_, own)| own.closed)
+}
+
 /// Writes it down in one step; it is on disk when this returns.
 fn write(path: &Path, belief: &Belief) -> io::Result<()> {
     let body = serde_json::to_string_pretty(belief).map_err(io::Error::other)? + "\n";
@@ -103,24 +131,12 @@
         })
     }
 
-    /// Goes by what is on disk, before the first client; where nothing is, by the first word of the fleet, which is waited
-    /// for no longer than is set. An upgrade's successor does not wait: the process before it has kept the file.
-    pub async fn begin(&mut self, succeeds: bool) {
-        match read(&self.work.file) {
-            Ok(Some(belief)) => {
-                let out: Vec<&Name> = belief.ordered().map(|(name, _)| name).collect();
-                if !out.is_empty() {
-                    info!(
-                        ?out,
-                        mono_ms = mono_ms(),
-                        "machines are out, by the file of the last process"
-                    );
-                }
-                self.go_by(belief).await;
-                return;
-            }
-            Ok(None) => {}
-            Err(why) => error!(why, "what is out can't be read"),
+    /// Goes by what was on disk, before the first client; where nothing is, by the first word of the fleet, which is
+    /// waited for no longer than is set. An upgrade's successor does not wait: the process before it has kept the file.
+    pub async fn begin(&mut self, kept: Option<Belief>, succeeds: bool) {
+        if let Some(belief) = kept {
+            self.left = is_out(&belief, &self.node);
+            return self.go_by(belief).await;
         }
         if succeeds {
             return;
@@ -307,8 +323,10 @@
             // Operators' words at this proxy are stronger.
             let opened =
                 seen.servers.iter().any(|server| server.opened) || (own && !self.service.left());
-            let servers = !seen.servers.is_empty();
-            let banned = servers && seen.servers.iter().all(|server| server.banned);
+            // One that the sources have leave is not waited for.
+            let stay = || seen.servers.iter().filter(|server| !server.draining);
+            let servers = stay().next().is_some();
+            let banned = servers && stay().all(|server| server.banned);
             let word = match (opened && listed.closed, banned) {
                 (true, _) => Some(true),
                 (false, true) => Some(false),
@@ -316,8 +334,8 @@
             };
             self.belief.word(&name, word);
             let expected = !listed.machine.servers.is_empty();
-            let warm = seen.servers.iter().all(|server| server.warm)
-                && (servers || !expected)
+            let warm = (servers || !expected)
+                && stay().all(|server| server.warm)
                 && !(own && self.service.left());
             let clients = seen.clients + elder + if own { looked.connections as u64 } else { 0 };
             let report: Option<Report> = self.belief.report(&name, clients, warm);
@@ -350,7 +368,10 @@
         let server = |seen: &violetwind_engine::SeenServer| Server {
             name: seen.uid.clone(),
             kind: seen.kind.clone().unwrap_or_default(),
-            room: (seen.rating.filter(|room| *room > 0.0).unwrap_or(1.0) * 1000.0) as u64,
+            room: match seen.draining {
+                true => 0,
+                false => (seen.rating.filter(|room| *room > 0.0).unwrap_or(1.0) * 1000.0) as u64,
+            },
         };
         let mut machines: BTreeMap<Name, Machine> = BTreeMap::new();
         for (name, seen) in looked
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -52,7 +52,7 @@
 use crate::first_lines::FirstLines;
 use crate::fleet::Fleet;
 use crate::fleet::allowances::Allowances;
-use crate::fleet::shift::Shift;
+use crate::fleet::shift::{self, Shift};
 use crate::handover::{Before, Side};
 use crate::limits::{Descriptors, Limits};
 use crate::operator::{Layers, Operator};
@@ -157,6 +157,16 @@
     let settings = config.settings.clone();
     let reports = config.reports != Reports::Nowhere && !settings.report_fields.is_empty();
     let weighed = !operator.sources.is_empty();
+    let work = operator
+        .fleet
+        .as_ref()
+        .and_then(|fleet| fleet.work.as_ref());
+    let out = work.and_then(|work| shift::kept(&work.file));
+    // With its machine this proxy is out, from before its first client.
+    let own_out = out
+        .as_ref()
+        .is_some_and(|out| shift::is_out(out, &config.name));
+    before.left |= own_out;
     let setup = Setup {
         settings,
         seed: config.seed,
@@ -281,7 +291,7 @@
         accepting,
     });
     if let Some(shift) = &mut shift {
-        shift.begin(before.elder.is_some()).await;
+        shift.begin(out, before.elder.is_some()).await;
     }
     if let Some(elder) = before.elder {
         let succeed = elder.hear(side.clone());
--- a/crates/proxy/tests/work.rs
+++ b/crates/proxy/tests/work.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use violetwind_standins::members::{Members, Spec, live, name};
+use violetwind_standins::members::{Members, Spec, live};
 use violetwind_standins::relay::Way;
 use violetwind_standins::shift::{
     Clients, Emptied, Staff, broken, conductor, desks, doors, in_place, orders, outs,
@@ -29,7 +29,7 @@
         fleet_lines: String::new(),
         lines: format!(
             "[fleet.work]\nmachine_until = \"/\"\nfile = \"FILE\"\n{lines}\n\
-             [[fleet.work.machine]]\nname = \"s-1\"\nservers = [\"s-1\"]\n"
+             [[fleet.work.machine]]\nname = \"m-0\"\nservers = [\"s-1\"]\n"
         ),
     }
 }
@@ -45,9 +45,7 @@
         let members = Members::start(spec(voters, others, lines));
         // The server that comes with the members takes nobody.
         let addr = members.server.addr.to_string();
-        let mut row = violetwind_standins::target("s-1", &addr, "draining");
-        row["az"] = json!("z");
-        members.list(row);
+        members.list(violetwind_standins::target("s-1", &addr, "draining"));
         let workers: Vec<Worker> = (0..MACHINES)
             .map(|at| Worker::start(&format!("m-{at}/s"), 200).unwrap())
             .collect();
@@ -224,3 +222,359 @@
     );
     assert!(faults >= 3 && count(&seen.moved) > 0);
 }
+
+fn shown(night: &Night, at: usize) -> String {
+    let desk = night.members.management(at).to_string();
+    let said = Command::new(env!("CARGO_BIN_EXE_violetwind"))
+        .args(["work", "show", "--at", &desk])
+        .output()
+        .unwrap();
+    String::from_utf8(said.stdout).unwrap()
+}
+
+/// The phase of a machine, by anybody with a leader's word.
+fn phase(night: &Night, machine: &str) -> Option<String> {
+    let view = night.view()?;
+    let orders = view["orders"].as_array()?.iter();
+    let mut machines = orders.flat_map(|order| order["machines"].as_array().into_iter().flatten());
+    let known = machines.find(|known| known["name"] == machine)?;
+    Some(known["phase"].as_str()?.to_string())
+}
+
+fn is(night: &Night, machine: &str, wanted: &str) {
+    night.until(&format!("{machine} is {wanted}"), |night| {
+        (phase(night, machine)? == wanted).then_some(())
+    });
+}
+
+fn say(night: &Night, at: usize, line: &str) {
+    night.until(line, |night| {
+        let said = night.members.call(at, line)?;
+        assert!(!said.starts_with("400 after FLEET"), "{said}");
+        said.starts_with("200 ").then_some(())
+    });
+}
+
+/// The operator stands on the smaller side: nothing can be planned there, what is out is told all the same, and the
+/// proxies there serve on. A machine stays until they have confirmed.
+#[test]
+fn two_halves_with_the_operator_on_the_smaller() {
+    let night = Night::start(3, 2, "");
+    let clients = Clients::start(doors(&night.members), 10);
+    night.plan(0, &["--most", "1"]);
+    let first = night.until("one leaves", |night| {
+        in_place(&night.view()?, "leaving").pop()
+    });
+    is(&night, &first, "empty");
+    let (small, large) = ([2, 4], [0, 1, 3]);
+    night.members.part(&small, &large, Way::Cut);
+    night.until("the smaller half says so", |night| {
+        let said = night.members.call(2, "FLEET WORK PAUSE")?;
+        said.starts_with("400 nobody that leads").then_some(())
+    });
+    let alone = shown(&night, 4);
+    assert!(alone.contains("the fleet has not answered"), "{alone}");
+    assert!(alone.starts_with(&format!("out: {first}\n")), "{alone}");
+    // The other half goes on: but not with a step that the smaller half has to confirm.
+    say(&night, 0, &format!("FLEET WORK DONE {first}"));
+    night.until("it says whom it waits for", |night| {
+        let shown = shown(night, 0);
+        let line = shown.lines().find(|line| line.starts_with(&first))?;
+        line.ends_with("not taken back yet by node-c, node-e")
+            .then_some(())
+    });
+    assert!(night.members.call(4, "HEALTH").unwrap().starts_with("200 "));
+    night.members.heal();
+    night.until("it is back", |night| {
+        (phase(night, &first)? == "done").then_some(())
+    });
+    let seen = clients.end();
+    assert_eq!(
+        seen.lost.load(Ordering::Relaxed) + seen.cut.load(Ordering::Relaxed),
+        0
+    );
+    let emptied = [];
+    night.sound(&emptied, 1);
+}
+
+/// `pause` holds everywhere within a second, `cancel` puts back what is out, and what was told as empty is not told so
+/// again; a machine never worked on, and one that never empties, are listed as failed until staff say what becomes of them.
+#[test]
+fn pause_cancel_and_limits_of_time() {
+    let night = Night::start(3, 0, "");
+    night.plan(1, &["--most", "2", "--work", "1"]);
+    let first = night.until("one is empty", |night| {
+        in_place(&night.view()?, "empty").pop()
+    });
+    let paused = mono_ms();
+    say(&night, 2, "FLEET WORK PAUSE");
+    is(&night, &first, "failed");
+    let late = outs(&night.members);
+    let late = late.iter().filter(|out| out.from > paused + 1000);
+    assert_eq!(late.count(), 0, "{}", night.members.log());
+    night.until("it says why", |night| {
+        let text = shown(night, 1);
+        let why = "it is out and failed (NeverWorked): staff say what becomes of it";
+        (text.contains("kernel: paused") && text.contains(why)).then_some(())
+    });
+    // Refused: it is not what comes next, and nothing has changed.
+    let refused = night.members.call(0, "FLEET WORK FAILED m-99").unwrap();
+    assert_eq!(refused, "400 m-99 is in no order");
+    say(&night, 0, "FLEET WORK CANCEL");
+    let ended = night.until("it ends", |night| {
+        for machine in in_place(&night.view()?, "failed") {
+            night
+                .members
+                .call(0, &format!("FLEET WORK RECALL {machine}"));
+        }
+        night.ended()
+    });
+    assert_eq!(ended["out"], json!([]), "{ended}");
+    assert_eq!(
+        ended["ended"][0]["spared"].as_u64().unwrap() + ended["ended"][0]["done"].as_u64().unwrap(),
+        6
+    );
+    // The same machines may be ordered anew; one that keeps its clients never empties in time.
+    let mut client = Peer::connect(night.members.addr(0));
+    client.say("OPEN 51c3a9be00d24f17 7f3a9c21e0b4d655 c=watch,d=2000");
+    let up = client.hear();
+    let machine = up
+        .split(['-', '/'])
+        .nth(1)
+        .map(|at| format!("m-{at}"))
+        .unwrap();
+    assert!(up.starts_with("UP m-"), "{up}");
+    let only = format!("FLEET WORK PLAN again {machine} floor=0 leave=1");
+    say(&night, 0, &only);
+    is(&night, &machine, "failed");
+    night.until("it says why", |night| {
+        shown(night, 0).contains("NeverEmpty").then_some(())
+    });
+    assert_eq!(client.hear(), "MOVE");
+    drop(client);
+    say(&night, 0, &format!("FLEET WORK DONE {machine}"));
+    night.until("it ends", |night| {
+        night
+            .ended()
+            .filter(|view| view["ended"].as_array().unwrap().len() == 2)
+    });
+}
+
+/// Words given at one proxy are stronger there: a machine that staff have closed counts as out, one that they open while
+/// it is empty is listed as failed at once.
+#[test]
+fn operators_words_at_one_proxy_stay_stronger() {
+    let night = Night::start(3, 0, "");
+    say(&night, 1, "OFFLINE m-0/s");
+    night.plan(0, &["--most", "2", "--zone-most", "2"]);
+    let first = night.until("one is empty", |night| {
+        in_place(&night.view()?, "empty").pop()
+    });
+    assert_ne!(first, "m-0");
+    let text = night.until("it says why", |night| {
+        let text = shown(night, 2);
+        text.contains("lost, or closed by an operator")
+            .then_some(text)
+    });
+    assert!(
+        text.lines()
+            .any(|line| line.starts_with("m-0 ") && line.contains("closed by an operator")),
+        "{text}"
+    );
+    // With that one there are two out, and nothing more goes.
+    assert!(text.contains("2 of 2 are out"), "{text}");
+    say(&night, 2, &format!("ONLINE {first}/s"));
+    is(&night, &first, "failed");
+    night.until("it says why", |night| {
+        shown(night, 0).contains("Opened").then_some(())
+    });
+    say(&night, 2, &format!("OFFLINE {first}/s"));
+    say(&night, 2, &format!("ONLINE {first}/s"));
+    say(&night, 0, &format!("FLEET WORK DONE {first}"));
+    say(&night, 1, "ONLINE m-0/s");
+    is(&night, &first, "done");
+}
+
+/// A machine that carries a proxy: that one is left, told as empty with its machine, killed and started anew while it is
+/// worked on, and takes clients again when the machine is back; who conducts hands that on before its own turn.
+#[test]
+fn a_machine_with_a_proxy_is_left_and_comes_back() {
+    let own = "[[fleet.work.machine]]\nname = \"p-1\"\nproxy = \"node-a\"\nzone = \"p\"\n\
+               [[fleet.work.machine]]\nname = \"p-2\"\nproxy = \"node-b\"\nzone = \"q\"\n\
+               [[fleet.work.machine]]\nname = \"p-3\"\nproxy = \"node-c\"\nzone = \"r\"";
+    let mut night = Night::start(3, 0, own);
+    let clients = Clients::start(doors(&night.members), 6);
+    say(&night, 0, "FLEET HAND-ON work node-a");
+    night.members.held("work", 0);
+    night.until("node-a conducts", |night| {
+        (night.members.holder(1, "work")? == 0).then_some(())
+    });
+    say(
+        &night,
+        2,
+        "FLEET WORK PLAN bios p-1,p-2 most=2 zone-most=2 floor=0",
+    );
+    // Voters go one at a time, and node-a has handed on.
+    is(&night, "p-1", "empty");
+    assert_ne!(night.members.holder(2, "work"), Some(0));
+    assert_eq!(phase(&night, "p-2").as_deref(), Some("waiting"));
+    assert!(shown(&night, 2).contains("another voter of the fleet is out"));
+    assert!(night.members.call(0, "HEALTH").unwrap().ends_with(", left"));
+    clients.away(0, true);
+    night.members.kill(0);
+    let down = Instant::now();
+    // The others go on without its word, as it has confirmed that it serves nobody.
+    assert_eq!(phase(&night, "p-1").as_deref(), Some("empty"));
+    night.members.run(0);
+    night.until("it is up, and left", |night| {
+        night
+            .members
+            .call(0, "HEALTH")?
+            .ends_with(", left")
+            .then_some(())
+    });
+    let mut client = Peer::connect(night.members.addr(0));
+    client.say("OPEN 51c3a9be00d24f17 7f3a9c21e0b4d655 c=watch,d=2000");
+    assert!(client.hear().starts_with("BUSY"), "{:?}", down.elapsed());
+    say(&night, 1, "FLEET WORK DONE p-1");
+    is(&night, "p-1", "done");
+    let health = night.members.call(0, "HEALTH").unwrap();
+    assert!(
+        health.starts_with("200 ") && !health.contains("left"),
+        "{health}"
+    );
+    is(&night, "p-2", "empty");
+    say(&night, 0, "FLEET WORK DONE p-2");
+    night.until("it ends", |night| night.ended());
+    clients.away(0, false);
+    let seen = clients.end();
+    assert_eq!(
+        seen.lost.load(Ordering::Relaxed) + seen.twice.load(Ordering::Relaxed),
+        0
+    );
+}
+
+/// A proxy that starts while the fleet can't be reached goes by what it had on disk, before its first client; one whose
+/// file was altered says where, and waits for the fleet's word.
+#[test]
+fn a_new_process_goes_by_what_was_out_before_its_first_client() {
+    let mut night = Night::start(3, 0, "first = \"1s\"");
+    night.plan(0, &["--most", "1"]);
+    let first = night.until("one is empty", |night| {
+        in_place(&night.view()?, "empty").pop()
+    });
+    let at: usize = first[2..].parse().unwrap();
+    night.members.part(&[2], &[0, 1], Way::Cut);
+    night.members.kill(2);
+    night.members.run(2);
+    night.until("it serves", |night| {
+        night
+            .members
+            .call(2, "HEALTH")?
+            .starts_with("200 ")
+            .then_some(())
+    });
+    assert!(night.members.logged(2, "by the file of the last process"));
+    let visits = |night: &Night| night.workers[at].visits().len();
+    let before = visits(&night);
+    let mut clients: Vec<Peer> = (0..24)
+        .map(|number| {
+            let mut client = Peer::connect(night.members.addr(2));
+            client.say(&format!(
+                "OPEN {number:016x} 7f3a9c21e0b4d655 c=watch,d=2000"
+            ));
+            assert!(client.hear().starts_with("UP "));
+            client
+        })
+        .collect();
+    clients.iter_mut().for_each(|client| client.say("SAY on"));
+    assert_eq!(visits(&night), before);
+    // Altered: refused with its place, and the fleet's list is waited for.
+    night.members.kill(2);
+    let file = night
+        .members
+        .fleet_dir(2)
+        .parent()
+        .unwrap()
+        .join("work.out");
+    let mut bytes = std::fs::read(&file).unwrap();
+    let last = bytes.len() - 5;
+    bytes[last] ^= 1;
+    std::fs::write(&file, bytes).unwrap();
+    night.members.heal();
+    night.members.run(2);
+    night.until("it serves", |night| {
+        night
+            .members
+            .call(2, "HEALTH")?
+            .starts_with("200 ")
+            .then_some(())
+    });
+    assert!(night.members.logged(2, "the checksum differs"));
+    for number in 100..124 {
+        let mut client = Peer::connect(night.members.addr(2));
+        client.say(&format!(
+            "OPEN {number:016x} 7f3a9c21e0b4d655 c=watch,d=2000"
+        ));
+        assert!(client.hear().starts_with("UP "));
+    }
+    assert_eq!(visits(&night), before, "{}", night.members.log());
+}
+
+/// The books find what they are for: a proxy that is no member of the fleet sends clients to a machine that was told as
+/// empty, and an order that allows two is checked for one.
+#[test]
+fn the_books_find_a_client_at_an_empty_machine_and_one_machine_too_many() {
+    let night = Night::start(3, 0, "");
+    night.plan(0, &["--most", "2"]);
+    let two = night.until("two are empty", |night| {
+        let empty = in_place(&night.view()?, "empty");
+        (empty.len() == 2).then_some(empty)
+    });
+    let now = mono_ms();
+    let plain = night.members.plain(0);
+    night.until("it serves", |_| {
+        let mut stream = std::net::TcpStream::connect(plain.addr).ok()?;
+        std::io::Write::write_all(&mut stream, b"PING\r\n").ok()?;
+        let mut answer = [0; 4];
+        std::io::Read::read_exact(&mut stream, &mut answer).ok()?;
+        (&answer == b"PONG").then_some(())
+    });
+    let emptied: Vec<Emptied> = two
+        .iter()
+        .map(|machine| Emptied {
+            machine: machine.clone(),
+            from: now,
+            until: u64::MAX,
+        })
+        .collect();
+    night.sound(&emptied, 2);
+    let mut clients = Vec::new();
+    night.until("a client is there", |night| {
+        let mut client = Peer::connect(plain.addr);
+        let number = clients.len() + 1;
+        client.say(&format!(
+            "OPEN 00ff{number:012x} {number:016x} c=watch,d=2000"
+        ));
+        let _ = client.hear();
+        clients.push(client);
+        let there = night
+            .workers
+            .iter()
+            .filter(|worker| two.contains(&worker.uid[..3].to_string()));
+        (there.map(|worker| worker.visits().len()).sum::<usize>() > 0).then_some(())
+    });
+    let found = broken(&outs(&night.members), &emptied, &night.workers, 1);
+    assert!(
+        found
+            .iter()
+            .any(|what| what.starts_with("Empty Means Empty")),
+        "{found:?}"
+    );
+    assert!(
+        found
+            .iter()
+            .any(|what| what.starts_with("Never Too Many Out: 2 of 1")),
+        "{found:?}"
+    );
+}
--- a/crates/storm/src/fleet/proxies.rs
+++ b/crates/storm/src/fleet/proxies.rs
@@ -26,6 +26,8 @@
 pub struct Shift {
     pub machines: BTreeMap<Name, Machine>,
     pub most: u32,
+    /// What staff want; they say it again until it is planned.
+    wanted: Option<Order>,
     proxies: BTreeMap<Name, Proxy>,
     /// Machines that are down, and those that are back and cold until then.
     down: BTreeSet<Name>,
@@ -97,6 +99,9 @@
             paused: false,
             cancelled: false,
         };
+        if let Some(shift) = &mut self.shift {
+            shift.wanted = Some(order.clone());
+        }
         self.call(at, Call::Staff(Staff::Plan(order)));
     }
 
@@ -183,7 +188,10 @@
             Phase::Failed(_) => Some(Staff::Recall(name.clone())),
             _ => None,
         });
-        let words: Vec<Staff> = words.collect();
+        let mut words: Vec<Staff> = words.collect();
+        if work.orders.orders().is_empty() && work.orders.ended().is_empty() {
+            words.extend(shift.wanted.clone().map(Staff::Plan));
+        }
         let at: Vec<Name> = shift.proxies.keys().cloned().collect();
         let at = at[self.rng.random_range(0..at.len())].clone();
         if !words.is_empty() {
