The lab plays work on all machines, and a bench plays it over real processes

In the model a connection that comes up while its server drains is moved with the others, as the engine does: without that one order in twenty never ended. Another test: servers replaced, lost and late while machines are out.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,7 +9,7 @@
 use violetwind_lab::experiment::{self, FIGURES, Side, figures, play, score, threads};
 use violetwind_lab::fleet;
 use violetwind_lab::hunt::{Quarry, hunt};
-use violetwind_lab::model::{Outcome, PolicyKind};
+use violetwind_lab::model::{Outcome, PolicyKind, WorkOutcome};
 use violetwind_lab::replay::Recording;
 use violetwind_lab::report::{self, Played};
 use violetwind_lab::scenario::Scenario;
@@ -406,6 +406,24 @@
             mean(own, |o| o.setup_ms[1]),
             mean(own, |o| o.spread),
         );
+        if scenario.work.is_some() {
+            let works: Vec<&WorkOutcome> = own.iter().filter_map(|o| o.work.as_ref()).collect();
+            let took: Vec<f64> = works.iter().filter_map(|work| work.took).collect();
+            let of = |of: fn(&WorkOutcome) -> usize| {
+                works.iter().map(|work| of(work) as f64).sum::<f64>() / works.len().max(1) as f64
+            };
+            println!(
+                "work: ended in {} of {} runs after {:.1} s, {:.1} machines done, {:.1} out at most, {:.0} clients moved; \
+                 a cold server was asked for {:.2} times what it could do at most",
+                took.len(),
+                works.len(),
+                took.iter().fold(0.0, |a, b| a + b) / took.len().max(1) as f64,
+                of(|work| work.done),
+                of(|work| work.most_out),
+                of(|work| work.moved),
+                own.iter().map(|o| o.cold_peak).fold(0.0, f64::max),
+            );
+        }
     }
     for (seed, outcome) in common.seeds().iter().zip(own) {
         for breach in outcome.breaches.iter().take(3) {
--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -9,4 +9,4 @@
 
 pub use policy::{Policy, PolicyKind, Truth};
 pub use rules::{Breach, Rule};
-pub use world::{Outcome, run};
+pub use world::{Outcome, WorkOutcome, run};
--- a/crates/lab/src/model/rules.rs
+++ b/crates/lab/src/model/rules.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Whether a proxy has been told that a server drains.
+    pub fn drains(&self, proxy: usize, server: u32) -> bool {
+        self.drains.contains_key(&(proxy, server))
+    }
+
     /// A proxy that starts anew has been told nothing.
     pub fn proxy_forgets(&mut self, proxy: usize) {
         self.drains.retain(|(of, _), _| *of != proxy);
--- a/crates/lab/src/model/world.rs
+++ b/crates/lab/src/model/world.rs
@@ -1,5 +1,8 @@
 //! The fleet: clients, proxies that run a policy, servers, and what goes wrong.
 
+mod shift;
+mod troubles;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
 
@@ -14,7 +17,10 @@
 use super::rules::{Breach, Rules};
 use super::server::{Life, Server};
 use crate::replay::Recorded;
-use crate::scenario::{Kind, Scenario, Trouble};
+use crate::scenario::Scenario;
+
+use shift::Shift;
+pub use shift::WorkOutcome;
 
 /// A probe that is not answered is given up after this, and a server that brings nothing back is silent
 /// to those who are on it after this.
@@ -46,6 +52,10 @@
     pub spread: f64,
     pub breaches: Vec<Breach>,
     pub breach_count: usize,
+    /// The most that a cold server was asked for, over what it could do then.
+    pub cold_peak: f64,
+    /// What became of the orders for work, where the scenario has any.
+    pub work: Option<WorkOutcome>,
     /// Second by second: service; the lowest, mean and highest load of servers that are up; moves and
     /// refusals.
     pub series: Vec<f64>,
@@ -114,6 +124,8 @@
     Ends(usize),
     Restart(ServerId, bool),
     Stop(ServerId),
+    /// Whoever conducts work looks again.
+    Conduct,
 }
 
 type Ending = violetwind_balancer::api::Outcome;
@@ -162,6 +174,8 @@
     truth: Truth,
     rules: Rules,
     budgets: Budgets,
+    shift: Option<Shift>,
+    cold_peak: f64,
     rate: f64,
     heavy: Option<(f64, f64, f64)>,
     cut: Option<usize>,
@@ -251,6 +265,8 @@
             truth: Truth::default(),
             rules: Rules::new(&set.budgets),
             budgets: Budgets::new(set),
+            shift: None,
+            cold_peak: 0.0,
             rate: set.rate(),
             heavy: None,
             cut: None,
@@ -299,6 +315,9 @@
         if !self.budgets.is_empty() {
             self.after(self.set.exchange, Step::Exchange);
         }
+        if let Some(work) = &self.set.work {
+            self.at(work.at, Step::Conduct);
+        }
         for (n, trouble) in self.set.troubles.iter().enumerate() {
             self.at(trouble.at, Step::Begins(n));
             self.at(trouble.at + trouble.lasts, Step::Ends(n));
@@ -417,6 +436,7 @@
             Step::Ends(n) => self.ends(n),
             Step::Restart(server, cold) => self.restart(server, cold),
             Step::Stop(server) => self.stop(server, Life::Down),
+            Step::Conduct => self.conduct(),
         }
     }
 
@@ -853,6 +873,10 @@
         let client = &mut self.clients[n];
         client.state = State::Up(id, server);
         client.tries = 1;
+        // It was on its way when the server was told to drain: it is moved with the others.
+        if self.rules.drains(proxy, server) {
+            self.after(DRAIN_WAIT, Step::Move(id));
+        }
         self.tell(proxy, Event::Begun(id, server));
         self.tell(proxy, Event::LoadNote(id, load));
     }
@@ -1006,6 +1030,9 @@
             place.told.1 = place.connections as f64;
             let cold = place.life == Life::Up && place.warmth(self.now, &set.server) < 1.0;
             self.rules.cold_load(self.now, n as u32, cold, figure);
+            if cold && self.now >= set.warm_up {
+                self.cold_peak = self.cold_peak.max(figure);
+            }
             if place.life == Life::Up {
                 (sum, squares, up) = (sum + figure, squares + figure * figure, up + 1.0);
                 (low, high) = (low.min(figure), high.max(figure));
@@ -1023,148 +1050,6 @@
         self.after(set.server.report_every, Step::Look);
     }
 
-    // Troubles.
-
-    /// The first so many servers, or proxies, in an order of this trouble's own.
-    fn touched(&self, n: usize, of: usize, share: f64) -> Vec<usize> {
-        let mut rng = stream(self.seed, 50 + n as u64);
-        let mut all: Vec<(u64, usize)> = (0..of).map(|one| (rng.random(), one)).collect();
-        all.sort_unstable();
-        let count = ((of as f64 * share).round() as usize).clamp(1, of);
-        all.into_iter().take(count).map(|(_, one)| one).collect()
-    }
-
-    fn servers_of(&self, n: usize, trouble: &Trouble) -> Vec<usize> {
-        match trouble.kind {
-            Kind::ZoneLoss => {
-                let of_zone = |n: &usize| self.servers[*n].zone == trouble.zone;
-                (0..self.servers.len()).filter(of_zone).collect()
-            }
-            _ => self.touched(n, self.servers.len(), trouble.share),
-        }
-    }
-
-    fn begins(&mut self, n: usize) {
-        let trouble = self.set.troubles[n].clone();
-        let servers = self.servers_of(n, &trouble);
-        match trouble.kind {
-            Kind::Crash => {
-                for server in servers {
-                    self.stop(server as ServerId, Life::Down);
-                    self.tell_all(server as ServerId, Status::Gone);
-                }
-            }
-            Kind::ZoneLoss => {
-                for server in servers {
-                    self.stop(server as ServerId, Life::Dark);
-                    self.tell_all(server as ServerId, Status::Gone);
-                }
-            }
-            Kind::Slow | Kind::Neighbour => {
-                for server in servers {
-                    self.account(server as ServerId);
-                    let factor = self.chance.random_range(trouble.from..=trouble.to);
-                    self.servers[server].factor = factor;
-                }
-            }
-            Kind::FailingFast => {
-                servers
-                    .iter()
-                    .for_each(|&server| self.servers[server].failing = true);
-            }
-            Kind::Heavy => self.heavy = Some((trouble.share, trouble.from, trouble.to)),
-            Kind::Burst => self.rate *= trouble.from,
-            Kind::Deploy => {
-                // One after the other over the time that it lasts.
-                let each = trouble.lasts / servers.len().max(1) as f64;
-                let (grace, restart) = (self.set.lists.grace, self.set.lists.restart);
-                for (turn, server) in servers.into_iter().enumerate() {
-                    let (server, at) = (server as ServerId, each * turn as f64);
-                    for proxy in 0..self.proxies.len() {
-                        let late = self.set.lists.delay * self.chance.random_range(0.5..1.5);
-                        let told = Step::Told(proxy, server, Status::Draining, None);
-                        self.after(at + late, told);
-                    }
-                    self.after(at + grace, Step::Stop(server));
-                    self.after(at + grace + restart, Step::Restart(server, true));
-                }
-            }
-            Kind::Reconnect => {
-                for n in self.touched(n, self.clients.len(), trouble.share) {
-                    if let State::Up(id, _) = self.clients[n].state
-                        && let Some((n, proxy, _)) = self.part(id)
-                    {
-                        self.tell(proxy, Event::Gone(id));
-                        self.again(n, 0.05);
-                    }
-                }
-            }
-            Kind::ZoneCut => {
-                self.cut = Some(trouble.zone);
-                let up: Vec<RequestId> = self.on.iter().flatten().copied().collect();
-                for id in up {
-                    self.after(SILENT, Step::Silent(id));
-                }
-            }
-            Kind::CatalogueSilent => self.list_silent_until = self.now + trouble.lasts,
-            Kind::ProxiesRestart => {
-                for proxy in self.touched(n, self.proxies.len(), trouble.share) {
-                    self.restart_proxy(proxy);
-                }
-            }
-        }
-    }
-
-    fn restart_proxy(&mut self, proxy: usize) {
-        let requests = std::mem::take(&mut self.proxies[proxy].requests);
-        for id in requests {
-            let Some(asked) = self.asked.get(&id) else {
-                continue;
-            };
-            let n = asked.client;
-            self.rules.excused(id);
-            match self.clients[n].state {
-                State::Up(..) => drop(self.part(id)),
-                _ => drop(self.forget(id)),
-            }
-            self.again(n, 0.3);
-        }
-        self.rules.proxy_forgets(proxy);
-        self.budgets.restarted(self.now, proxy);
-        let place = &mut self.proxies[proxy];
-        place.process += 1;
-        let seed = self.seed ^ (proxy as u64) << 20 ^ u64::from(place.process) << 50;
-        place.policy = Policy::new(self.kind, &self.settings[proxy], seed);
-        self.start_proxy(proxy);
-    }
-
-    fn ends(&mut self, n: usize) {
-        let trouble = self.set.troubles[n].clone();
-        let servers = self.servers_of(n, &trouble);
-        match trouble.kind {
-            Kind::Crash | Kind::ZoneLoss => {
-                for server in servers {
-                    self.restart(server as ServerId, true);
-                }
-            }
-            Kind::Slow | Kind::Neighbour => {
-                for server in servers {
-                    self.account(server as ServerId);
-                    self.servers[server].factor = 1.0;
-                }
-            }
-            Kind::FailingFast => {
-                servers
-                    .iter()
-                    .for_each(|&server| self.servers[server].failing = false);
-            }
-            Kind::Heavy => self.heavy = None,
-            Kind::Burst => self.rate /= trouble.from,
-            Kind::ZoneCut => self.cut = None,
-            Kind::Deploy | Kind::Reconnect | Kind::CatalogueSilent | Kind::ProxiesRestart => {}
-        }
-    }
-
     fn end(mut self) -> Outcome {
         self.want(0, 0.0);
         for server in 0..self.servers.len() {
@@ -1216,6 +1101,8 @@
             refused_by_second: self.counts.refused_by_second,
             breaches: self.rules.breaches,
             breach_count: self.rules.count,
+            cold_peak: self.cold_peak,
+            work: self.shift.map(Shift::end),
         }
     }
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -27,12 +27,30 @@
     pub network: Network,
     pub troubles: Vec<Trouble>,
     pub budgets: Vec<Budget>,
+    pub work: Option<Work>,
     /// Proxies are asked what they use of budgets, and told their parts, so often.
     pub exchange: f64,
     /// Recorded clients instead of made-up ones.
     pub replayed: Option<Arc<Vec<Recorded>>>,
 }
 
+/// Work on all servers, each a machine of its own, by orders that the real planner carries out.
+#[derive(Clone, Debug)]
+pub struct Work {
+    pub at: f64,
+    pub most: u32,
+    pub zone_most: u32,
+    pub floor: f64,
+    pub spare: bool,
+    /// Machines of one order, the next when all are done: 0 for all in one. With as many as may be out it is work in
+    /// fixed batches.
+    pub batch: usize,
+    /// What staff take for a machine.
+    pub job: f64,
+    /// Between two looks of whoever conducts.
+    pub every: f64,
+}
+
 /// A whole that all proxies keep together, of what is used within any window.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -264,6 +282,7 @@
             classes: root.sections("class").iter().map(class).collect(),
             troubles: root.sections("trouble").iter().map(trouble).collect(),
             budgets: root.sections("budget").iter().map(budget).collect(),
+            work: work(root),
             exchange: span(&fleet, "exchange", 0.01, 60.0, 0.1),
             replayed: None,
         };
@@ -396,6 +415,22 @@
                 budget.divided
             ));
         }
+        if let Some(work) = &self.work {
+            line(format!(
+                "\n[work]\nat = \"{}\"\nmost = {}\nzone_most = {}\nfloor = {}\nspare = {}",
+                span(work.at),
+                work.most,
+                work.zone_most,
+                work.floor,
+                work.spare
+            ));
+            line(format!(
+                "batch = {}\njob = \"{}\"\nevery = \"{}\"",
+                work.batch,
+                span(work.job),
+                span(work.every)
+            ));
+        }
         for trouble in &self.troubles {
             let (at, lasts) = (span(trouble.at), span(trouble.lasts));
             line(format!("\n[[trouble]]\nkind = {:?}", trouble.kind.name()));
@@ -477,6 +512,25 @@
     budget
 }
 
+fn work(root: &Section<'_>) -> Option<Work> {
+    let section = root.section("work");
+    if !section.is_there() {
+        return None;
+    }
+    let work = Work {
+        at: span(&section, "at", 0.0, 86_400.0, 15.0),
+        most: section.int("most", 1..=10_000, 1) as u32,
+        zone_most: section.int("zone_most", 1..=10_000, 10_000) as u32,
+        floor: section.number("floor", 0.0..=1.0, 0.8),
+        spare: section.flag("spare", false),
+        batch: section.int("batch", 0..=10_000, 0) as usize,
+        job: span(&section, "job", 0.0, 86_400.0, 2.0),
+        every: span(&section, "every", 0.01, 60.0, 0.2),
+    };
+    section.finish();
+    Some(work)
+}
+
 fn trouble(section: &Section<'_>) -> Trouble {
     if !section.has("kind") {
         section.wrong("kind", "expected the kind of a trouble, found nothing");
--- a/crates/proxy/tests/work.rs
+++ b/crates/proxy/tests/work.rs
@@ -1,134 +1,31 @@
 //! Orders for work on machines over several real processes with clients, staff, and faults between them; the books are
 //! kept outside and merged by the machine's clock.
 
-use std::process::Command;
 use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use serde_json::{Value, json};
-use violetwind_standins::members::{Members, Spec, live};
+use serde_json::json;
 use violetwind_standins::relay::Way;
 use violetwind_standins::shift::{
-    Clients, Emptied, Staff, broken, conductor, desks, doors, in_place, orders, outs,
+    Clients, Emptied, Night, Staff, broken, conductor, desks, doors, in_place, outs,
 };
 use violetwind_standins::worker::Worker;
-use violetwind_standins::{Peer, mono_ms};
+use violetwind_standins::{Peer, mono_ms, target};
 
 const MACHINES: usize = 6;
 
-fn spec(voters: usize, others: usize, lines: &str) -> Spec {
-    Spec {
-        program: env!("CARGO_BIN_EXE_violetwind").into(),
-        voters,
-        others,
-        lease_ms: 1000,
-        election_ms: 200,
-        duties: Vec::new(),
-        cold_s: 0.3,
-        fleet_lines: String::new(),
-        lines: format!(
-            "[fleet.work]\nmachine_until = \"/\"\nfile = \"FILE\"\n{lines}\n\
-             [[fleet.work.machine]]\nname = \"m-0\"\nservers = [\"s-1\"]\n"
-        ),
-    }
-}
-
-/// A fleet whose members have a file of their own for what is out, and machines of one server each in three zones.
-struct Night {
-    members: Members,
-    workers: Vec<Worker>,
-}
-
-impl Night {
-    fn start(voters: usize, others: usize, lines: &str) -> Self {
-        let members = Members::start(spec(voters, others, lines));
-        // The server that comes with the members takes nobody.
-        let addr = members.server.addr.to_string();
-        members.list(violetwind_standins::target("s-1", &addr, "draining"));
-        let workers: Vec<Worker> = (0..MACHINES)
-            .map(|at| Worker::start(&format!("m-{at}/s"), 200).unwrap())
-            .collect();
-        let night = Self { members, workers };
-        for at in 0..MACHINES {
-            night.list(at);
-        }
-        night.members.until("the fleet is whole", |members| {
-            let view = members.view(0).filter(|view| view["majority"] == true)?;
-            (live(&view) == Some(members.count())).then_some(())
-        });
-        // All machines are known, and everybody has to confirm.
-        let count = night.members.count();
-        night.until("everybody serves", |night| {
-            let view = night.view()?;
-            (view["serving"].as_array()?.len() == count).then_some(())
-        });
-        night
-    }
-
-    fn list(&self, at: usize) {
-        let worker = &self.workers[at];
-        let mut row = violetwind_standins::target(&worker.uid, &worker.addr.to_string(), "ready");
-        row["az"] = json!(["a", "b", "c"][at % 3]);
-        self.members.list(row);
-    }
-
-    fn until<T>(&self, what: &str, mut so: impl FnMut(&Self) -> Option<T>) -> T {
-        let begun = Instant::now();
-        loop {
-            if let Some(found) = so(self) {
-                return found;
-            }
-            assert!(
-                begun.elapsed() < Duration::from_secs(40),
-                "{what}: never\n{:?}\n{}",
-                self.view(),
-                self.members.log()
-            );
-            sleep(Duration::from_millis(10));
-        }
-    }
-
-    /// By the first member that has a leader's word.
-    fn view(&self) -> Option<Value> {
-        desks(&self.members).into_iter().find_map(orders)
-    }
-
-    fn plan(&self, at: usize, more: &[&str]) {
-        let desk = self.members.management(at).to_string();
-        let last = format!("m-0..m-{}", MACHINES - 1);
-        self.until("it is planned", |_| {
-            let said = Command::new(env!("CARGO_BIN_EXE_violetwind"))
-                .args(["work", "plan", "kernel", "--machines", &last, "--at", &desk])
-                .args(["--floor", "0.5", "--leave", "20", "--back", "20"])
-                .args(more)
-                .output()
-                .unwrap();
-            let unknown = String::from_utf8_lossy(&said.stderr).contains("no such machine");
-            assert!(said.status.success() || unknown, "{said:?}");
-            said.status.success().then_some(())
-        });
-    }
-
-    fn ended(&self) -> Option<Value> {
-        let view = self.view()?;
-        (view["orders"].as_array()?.is_empty() && !view["ended"].as_array()?.is_empty())
-            .then_some(view)
-    }
-
-    fn sound(&self, emptied: &[Emptied], most: usize) {
-        let outs = outs(&self.members);
-        let broken = broken(&outs, emptied, &self.workers, most);
-        assert_eq!(broken, Vec::<String>::new(), "{}", self.members.log());
-    }
+fn night(voters: usize, others: usize, lines: &str) -> Night {
+    let program = env!("CARGO_BIN_EXE_violetwind");
+    Night::start(program.into(), (voters, others), MACHINES, lines)
 }
 
 #[test]
 fn all_machines_are_worked_on_through_kills_stalls_and_cuts_and_no_client_is_lost() {
-    let mut night = Night::start(3, 2, "");
+    let mut night = night(3, 2, "");
     let clients = Clients::start(doors(&night.members), 30);
     let staff = Staff::start(desks(&night.members), Duration::from_millis(50));
-    night.plan(4, &["--most", "2"]);
+    night.plan(4, "kernel", "m-0..m-5", &["--floor", "0.5", "--most", "2"]);
     let (mut faults, mut before, mut struck_at) = (0, None, None);
     let begun = Instant::now();
     // Whoever conducts is struck again and again, by turns, in the middle of whatever it does.
@@ -224,48 +121,20 @@
 }
 
 fn shown(night: &Night, at: usize) -> String {
-    let desk = night.members.management(at).to_string();
-    let said = Command::new(env!("CARGO_BIN_EXE_violetwind"))
-        .args(["work", "show", "--at", &desk])
-        .output()
-        .unwrap();
-    String::from_utf8(said.stdout).unwrap()
-}
-
-/// The phase of a machine, by anybody with a leader's word.
-fn phase(night: &Night, machine: &str) -> Option<String> {
-    let view = night.view()?;
-    let orders = view["orders"].as_array()?.iter();
-    let mut machines = orders.flat_map(|order| order["machines"].as_array().into_iter().flatten());
-    let known = machines.find(|known| known["name"] == machine)?;
-    Some(known["phase"].as_str()?.to_string())
-}
-
-fn is(night: &Night, machine: &str, wanted: &str) {
-    night.until(&format!("{machine} is {wanted}"), |night| {
-        (phase(night, machine)? == wanted).then_some(())
-    });
-}
-
-fn say(night: &Night, at: usize, line: &str) {
-    night.until(line, |night| {
-        let said = night.members.call(at, line)?;
-        assert!(!said.starts_with("400 after FLEET"), "{said}");
-        said.starts_with("200 ").then_some(())
-    });
+    night.staff(at, &["show"]).unwrap_or_default()
 }
 
 /// The operator stands on the smaller side: nothing can be planned there, what is out is told all the same, and the
 /// proxies there serve on. A machine stays until they have confirmed.
 #[test]
 fn two_halves_with_the_operator_on_the_smaller() {
-    let night = Night::start(3, 2, "");
+    let night = night(3, 2, "");
     let clients = Clients::start(doors(&night.members), 10);
-    night.plan(0, &["--most", "1"]);
+    night.plan(0, "kernel", "m-0..m-5", &["--floor", "0.5", "--most", "1"]);
     let first = night.until("one leaves", |night| {
         in_place(&night.view()?, "leaving").pop()
     });
-    is(&night, &first, "empty");
+    night.is(&first, "empty");
     let (small, large) = ([2, 4], [0, 1, 3]);
     night.members.part(&small, &large, Way::Cut);
     night.until("the smaller half says so", |night| {
@@ -276,7 +145,7 @@
     assert!(alone.contains("the fleet has not answered"), "{alone}");
     assert!(alone.starts_with(&format!("out: {first}\n")), "{alone}");
     // The other half goes on: but not with a step that the smaller half has to confirm.
-    say(&night, 0, &format!("FLEET WORK DONE {first}"));
+    night.say(0, &format!("FLEET WORK DONE {first}"));
     night.until("it says whom it waits for", |night| {
         let shown = shown(night, 0);
         let line = shown.lines().find(|line| line.starts_with(&first))?;
@@ -286,7 +155,7 @@
     assert!(night.members.call(4, "HEALTH").unwrap().starts_with("200 "));
     night.members.heal();
     night.until("it is back", |night| {
-        (phase(night, &first)? == "done").then_some(())
+        (night.phase(&first)? == "done").then_some(())
     });
     let seen = clients.end();
     assert_eq!(
@@ -301,14 +170,19 @@
 /// again; a machine never worked on, and one that never empties, are listed as failed until staff say what becomes of them.
 #[test]
 fn pause_cancel_and_limits_of_time() {
-    let night = Night::start(3, 0, "");
-    night.plan(1, &["--most", "2", "--work", "1"]);
+    let night = night(3, 0, "");
+    night.plan(
+        1,
+        "kernel",
+        "m-0..m-5",
+        &["--floor", "0.5", "--most", "2", "--work", "1"],
+    );
     let first = night.until("one is empty", |night| {
         in_place(&night.view()?, "empty").pop()
     });
     let paused = mono_ms();
-    say(&night, 2, "FLEET WORK PAUSE");
-    is(&night, &first, "failed");
+    night.say(2, "FLEET WORK PAUSE");
+    night.is(&first, "failed");
     let late = outs(&night.members);
     let late = late.iter().filter(|out| out.from > paused + 1000);
     assert_eq!(late.count(), 0, "{}", night.members.log());
@@ -320,7 +194,7 @@
     // Refused: it is not what comes next, and nothing has changed.
     let refused = night.members.call(0, "FLEET WORK FAILED m-99").unwrap();
     assert_eq!(refused, "400 m-99 is in no order");
-    say(&night, 0, "FLEET WORK CANCEL");
+    night.say(0, "FLEET WORK CANCEL");
     let ended = night.until("it ends", |night| {
         for machine in in_place(&night.view()?, "failed") {
             night
@@ -345,14 +219,14 @@
         .unwrap();
     assert!(up.starts_with("UP m-"), "{up}");
     let only = format!("FLEET WORK PLAN again {machine} floor=0 leave=1");
-    say(&night, 0, &only);
-    is(&night, &machine, "failed");
+    night.say(0, &only);
+    night.is(&machine, "failed");
     night.until("it says why", |night| {
         shown(night, 0).contains("NeverEmpty").then_some(())
     });
     assert_eq!(client.hear(), "MOVE");
     drop(client);
-    say(&night, 0, &format!("FLEET WORK DONE {machine}"));
+    night.say(0, &format!("FLEET WORK DONE {machine}"));
     night.until("it ends", |night| {
         night
             .ended()
@@ -364,9 +238,14 @@
 /// it is empty is listed as failed at once.
 #[test]
 fn operators_words_at_one_proxy_stay_stronger() {
-    let night = Night::start(3, 0, "");
-    say(&night, 1, "OFFLINE m-0/s");
-    night.plan(0, &["--most", "2", "--zone-most", "2"]);
+    let night = night(3, 0, "");
+    night.say(1, "OFFLINE m-0/s");
+    night.plan(
+        0,
+        "kernel",
+        "m-0..m-5",
+        &["--floor", "0.5", "--most", "2", "--zone-most", "2"],
+    );
     let first = night.until("one is empty", |night| {
         in_place(&night.view()?, "empty").pop()
     });
@@ -383,16 +262,16 @@
     );
     // With that one there are two out, and nothing more goes.
     assert!(text.contains("2 of 2 are out"), "{text}");
-    say(&night, 2, &format!("ONLINE {first}/s"));
-    is(&night, &first, "failed");
+    night.say(2, &format!("ONLINE {first}/s"));
+    night.is(&first, "failed");
     night.until("it says why", |night| {
         shown(night, 0).contains("Opened").then_some(())
     });
-    say(&night, 2, &format!("OFFLINE {first}/s"));
-    say(&night, 2, &format!("ONLINE {first}/s"));
-    say(&night, 0, &format!("FLEET WORK DONE {first}"));
-    say(&night, 1, "ONLINE m-0/s");
-    is(&night, &first, "done");
+    night.say(2, &format!("OFFLINE {first}/s"));
+    night.say(2, &format!("ONLINE {first}/s"));
+    night.say(0, &format!("FLEET WORK DONE {first}"));
+    night.say(1, "ONLINE m-0/s");
+    night.is(&first, "done");
 }
 
 /// A machine that carries a proxy: that one is left, told as empty with its machine, killed and started anew while it is
@@ -402,29 +281,25 @@
     let own = "[[fleet.work.machine]]\nname = \"p-1\"\nproxy = \"node-a\"\nzone = \"p\"\n\
                [[fleet.work.machine]]\nname = \"p-2\"\nproxy = \"node-b\"\nzone = \"q\"\n\
                [[fleet.work.machine]]\nname = \"p-3\"\nproxy = \"node-c\"\nzone = \"r\"";
-    let mut night = Night::start(3, 0, own);
+    let mut night = night(3, 0, own);
     let clients = Clients::start(doors(&night.members), 6);
-    say(&night, 0, "FLEET HAND-ON work node-a");
+    night.say(0, "FLEET HAND-ON work node-a");
     night.members.held("work", 0);
     night.until("node-a conducts", |night| {
         (night.members.holder(1, "work")? == 0).then_some(())
     });
-    say(
-        &night,
-        2,
-        "FLEET WORK PLAN bios p-1,p-2 most=2 zone-most=2 floor=0",
-    );
+    night.say(2, "FLEET WORK PLAN bios p-1,p-2 most=2 zone-most=2 floor=0");
     // Voters go one at a time, and node-a has handed on.
-    is(&night, "p-1", "empty");
+    night.is("p-1", "empty");
     assert_ne!(night.members.holder(2, "work"), Some(0));
-    assert_eq!(phase(&night, "p-2").as_deref(), Some("waiting"));
+    assert_eq!(night.phase("p-2").as_deref(), Some("waiting"));
     assert!(shown(&night, 2).contains("another voter of the fleet is out"));
     assert!(night.members.call(0, "HEALTH").unwrap().ends_with(", left"));
     clients.away(0, true);
     night.members.kill(0);
     let down = Instant::now();
     // The others go on without its word, as it has confirmed that it serves nobody.
-    assert_eq!(phase(&night, "p-1").as_deref(), Some("empty"));
+    assert_eq!(night.phase("p-1").as_deref(), Some("empty"));
     night.members.run(0);
     night.until("it is up, and left", |night| {
         night
@@ -436,15 +311,15 @@
     let mut client = Peer::connect(night.members.addr(0));
     client.say("OPEN 51c3a9be00d24f17 7f3a9c21e0b4d655 c=watch,d=2000");
     assert!(client.hear().starts_with("BUSY"), "{:?}", down.elapsed());
-    say(&night, 1, "FLEET WORK DONE p-1");
-    is(&night, "p-1", "done");
+    night.say(1, "FLEET WORK DONE p-1");
+    night.is("p-1", "done");
     let health = night.members.call(0, "HEALTH").unwrap();
     assert!(
         health.starts_with("200 ") && !health.contains("left"),
         "{health}"
     );
-    is(&night, "p-2", "empty");
-    say(&night, 0, "FLEET WORK DONE p-2");
+    night.is("p-2", "empty");
+    night.say(0, "FLEET WORK DONE p-2");
     night.until("it ends", |night| night.ended());
     clients.away(0, false);
     let seen = clients.end();
@@ -458,8 +333,8 @@
 /// file was altered says where, and waits for the fleet's word.
 #[test]
 fn a_new_process_goes_by_what_was_out_before_its_first_client() {
-    let mut night = Night::start(3, 0, "first = \"1s\"");
-    night.plan(0, &["--most", "1"]);
+    let mut night = night(3, 0, "first = \"1s\"");
+    night.plan(0, "kernel", "m-0..m-5", &["--floor", "0.5", "--most", "1"]);
     let first = night.until("one is empty", |night| {
         in_place(&night.view()?, "empty").pop()
     });
@@ -525,8 +400,8 @@
 /// empty, and an order that allows two is checked for one.
 #[test]
 fn the_books_find_a_client_at_an_empty_machine_and_one_machine_too_many() {
-    let night = Night::start(3, 0, "");
-    night.plan(0, &["--most", "2"]);
+    let night = night(3, 0, "");
+    night.plan(0, "kernel", "m-0..m-5", &["--floor", "0.5", "--most", "2"]);
     let two = night.until("two are empty", |night| {
         let empty = in_place(&night.view()?, "empty");
         (empty.len() == 2).then_some(empty)
@@ -578,3 +453,78 @@
         "{found:?}"
     );
 }
+
+/// Discovery replaces servers in the middle: what is listed anew on a machine that is out gets nobody. A machine that does
+/// not return in time is listed as failed, and back once it is sound; while one is lost nothing more goes.
+#[test]
+fn servers_replaced_lost_and_late_while_machines_are_out() {
+    let night = night(3, 0, "");
+    night.say(
+        0,
+        "FLEET WORK PLAN kernel m-1..m-2 most=1 floor=500 back=1000",
+    );
+    let first = night.until("one is empty", |night| {
+        in_place(&night.view()?, "empty").pop()
+    });
+    let at: usize = first[2..].parse().unwrap();
+    // A rolling deploy: another server on the machine that is out, and the old one is gone.
+    let next = Worker::start(&format!("{first}/t"), 200).unwrap();
+    night.list(at, &next);
+    let mut row = target(
+        &night.workers[at].uid,
+        &night.workers[at].addr.to_string(),
+        "gone",
+    );
+    row["az"] = json!("b");
+    night.members.list(row);
+    let clients = Clients::start(doors(&night.members), 24);
+    night.until("others serve them", |night| {
+        let open = night.workers.iter().map(Worker::open).sum::<usize>();
+        (open == 24).then_some(())
+    });
+    assert_eq!(next.visits(), vec![], "{}", night.members.log());
+    // Put back with a server that does not answer its list: it is not there.
+    let gone = |worker: &Worker, state: &str| {
+        let mut row = target(&worker.uid, &worker.addr.to_string(), state);
+        row["az"] = json!("b");
+        night.members.list(row);
+    };
+    gone(&next, "gone");
+    night.say(1, &format!("FLEET WORK DONE {first}"));
+    night.is(&first, "failed");
+    let other = if first == "m-1" { "m-2" } else { "m-1" };
+    assert_eq!(night.phase(other).as_deref(), Some("waiting"));
+    gone(&next, "ready");
+    night.say(1, &format!("FLEET WORK DONE {first}"));
+    night.is(other, "empty");
+    assert_eq!(night.phase(&first).as_deref(), Some("done"));
+    night.until("it takes clients again", |_| {
+        (next.open() > 0).then_some(())
+    });
+    night.say(2, &format!("FLEET WORK DONE {other}"));
+    night.until("it ends", |night| night.ended());
+    // One is lost of itself: it counts as out, and nothing goes until it is back.
+    gone(&night.workers[3], "gone");
+    night.plan(
+        0,
+        "bios",
+        "m-4..m-5",
+        &["--most", "1", "--zone-most", "1", "--floor", "0"],
+    );
+    night.until("it says why", |night| {
+        let text = night.staff(1, &["show"]).ok()?;
+        let why = |machine: &str| {
+            let line = text.lines().find(|line| line.starts_with(machine));
+            line.is_some_and(|line| line.contains("1 of 1 are out"))
+        };
+        (why("m-4") && why("m-5")).then_some(())
+    });
+    night.list(3, &night.workers[3]);
+    night.until("one goes", |night| in_place(&night.view()?, "empty").pop());
+    let seen = clients.end();
+    assert_eq!(
+        seen.lost.load(Ordering::Relaxed) + seen.twice.load(Ordering::Relaxed),
+        0
+    );
+    night.sound(&[], 1);
+}
--- a/crates/standins/src/shift.rs
+++ b/crates/standins/src/shift.rs
@@ -4,16 +4,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::Command;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
-use crate::members::{Members, name};
-use crate::mono_ms;
+use crate::members::{Members, Spec, live, name};
 use crate::worker::{Visit, Worker};
+use crate::{mono_ms, target};
 
 /// A client waits so long for its final answer.
 const ANSWER: Duration = Duration::from_millis(2500);
@@ -338,3 +340,163 @@
 pub fn conductor(members: &Members, view: &Value) -> Option<usize> {
     (0..members.count()).find(|at| view["conductor"] == name(*at).as_str())
 }
+
+/// A fleet whose members each keep what is out, and machines of one server each in three zones.
+pub struct Night {
+    pub members: Members,
+    pub workers: Vec<Worker>,
+    program: PathBuf,
+}
+
+impl Night {
+    /// Voters and others, and machines; `lines` go into `[fleet.work]`. Returns when everybody has to confirm.
+    pub fn start(
+        program: PathBuf,
+        (voters, others): (usize, usize),
+        machines: usize,
+        lines: &str,
+    ) -> Self {
+        let lines = format!(
+            "[fleet.work]\nmachine_until = \"/\"\nfile = \"FILE\"\n{lines}\n\
+             [[fleet.work.machine]]\nname = \"m-0\"\nservers = [\"s-1\"]\n"
+        );
+        let members = Members::start(Spec {
+            program: program.clone(),
+            voters,
+            others,
+            lease_ms: 1000,
+            election_ms: 200,
+            duties: Vec::new(),
+            cold_s: 0.3,
+            fleet_lines: String::new(),
+            lines,
+        });
+        // The server that comes with the members takes nobody.
+        let addr = members.server.addr.to_string();
+        members.list(target("s-1", &addr, "draining"));
+        let workers = (0..machines).map(|at| Worker::start(&format!("m-{at}/s"), 200).unwrap());
+        let night = Self {
+            workers: workers.collect(),
+            members,
+            program,
+        };
+        for at in 0..machines {
+            night.list(at, &night.workers[at]);
+        }
+        night.members.until("the fleet is whole", |members| {
+            let view = members.view(0).filter(|view| view["majority"] == true)?;
+            (live(&view) == Some(members.count())).then_some(())
+        });
+        let count = night.members.count();
+        night.until("everybody serves", |night| {
+            let view = night.view()?;
+            (view["serving"].as_array()?.len() == count).then_some(())
+        });
+        night
+    }
+
+    /// Lists a server of a machine.
+    pub fn list(&self, machine: usize, worker: &Worker) {
+        let mut row = target(&worker.uid, &worker.addr.to_string(), "ready");
+        row["az"] = json!(["a", "b", "c"][machine % 3]);
+        self.members.list(row);
+    }
+
+    pub fn until<T>(&self, what: &str, mut so: impl FnMut(&Self) -> Option<T>) -> T {
+        let begun = Instant::now();
+        loop {
+            if let Some(found) = so(self) {
+                return found;
+            }
+            assert!(
+                begun.elapsed() < Duration::from_secs(40),
+                "{what}: never\n{:?}\n{}",
+                self.view(),
+                self.members.log()
+            );
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// By the first member that has a leader's word.
+    pub fn view(&self) -> Option<Value> {
+        desks(&self.members).into_iter().find_map(orders)
+    }
+
+    /// What `violetwind work` says at a member.
+    ///
+    /// # Errors
+    /// What it says on standard error, if it does not end with 0.
+    pub fn staff(&self, at: usize, words: &[&str]) -> Result<String, String> {
+        let said = Command::new(&self.program)
+            .arg("work")
+            .args(words)
+            .args(["--at", &self.members.management(at).to_string()])
+            .output()
+            .unwrap();
+        let text = |bytes| String::from_utf8(bytes).unwrap();
+        match said.status.success() {
+            true => Ok(text(said.stdout)),
+            false => Err(text(said.stderr)),
+        }
+    }
+
+    /// An order for these machines; the sources' words may have to come first.
+    pub fn plan(&self, at: usize, name: &str, machines: &str, more: &[&str]) {
+        let own = [
+            "plan",
+            name,
+            "--machines",
+            machines,
+            "--leave",
+            "20",
+            "--back",
+            "20",
+        ];
+        let words = [&own[..], more].concat();
+        self.until("it is planned", |night| match night.staff(at, &words) {
+            Ok(_) => Some(()),
+            Err(why) => {
+                assert!(why.contains("no such machine"), "{why}");
+                None
+            }
+        });
+    }
+
+    /// An operator's call that has to be taken.
+    pub fn say(&self, at: usize, line: &str) {
+        self.until(line, |night| {
+            let said = night.members.call(at, line)?;
+            assert!(!said.starts_with("400 after FLEET"), "{said}");
+            said.starts_with("200 ").then_some(())
+        });
+    }
+
+    /// Where a machine is, by anybody with a leader's word.
+    pub fn phase(&self, machine: &str) -> Option<String> {
+        let view = self.view()?;
+        let orders = view["orders"].as_array()?.iter();
+        let mut machines =
+            orders.flat_map(|order| order["machines"].as_array().into_iter().flatten());
+        let known = machines.find(|known| known["name"] == machine)?;
+        Some(known["phase"].as_str()?.to_string())
+    }
+
+    pub fn is(&self, machine: &str, wanted: &str) {
+        self.until(&format!("{machine} is {wanted}"), |night| {
+            (night.phase(machine)? == wanted).then_some(())
+        });
+    }
+
+    /// The view in which no order is left and some have ended.
+    pub fn ended(&self) -> Option<Value> {
+        let view = self.view()?;
+        (view["orders"].as_array()?.is_empty() && !view["ended"].as_array()?.is_empty())
+            .then_some(view)
+    }
+
+    pub fn sound(&self, emptied: &[Emptied], most: usize) {
+        let broken = broken(&outs(&self.members), emptied, &self.workers, most);
+        assert_eq!(broken, Vec::<String>::new(), "{}", self.members.log());
+    }
+}
