Work orders spare a zone, keep some of each cell in, and can do without staff's word

What may be lost besides is nothing, a machine or a zone; a machine with the only room of its cell stays in where there are others; out,back brings an empty machine back by itself. Calls and machines have tests of their own; thirteen calls that make no sense are refused with what would.

--- a/crates/engine/src/engine/machines.rs
+++ b/crates/engine/src/engine/machines.rs
@@ -88,6 +88,7 @@
             seen.servers.push(SeenServer {
                 uid: uid.clone(),
                 kind: row.kind.clone(),
+                cell: row.cell,
                 rating: row.rating,
                 up,
                 warm: up && warm,
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -92,6 +92,7 @@
 pub struct SeenServer {
     pub uid: String,
     pub kind: Option<String>,
+    pub cell: u64,
     pub rating: Option<f64>,
     /// Listed as up, whatever operators and orders say.
     pub up: bool,
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -198,7 +198,7 @@
     pub most: u32,
     pub zone_most: u32,
     pub floor: u32,
-    pub spare: bool,
+    pub spare: String,
     pub machines: Vec<MachineView>,
 }
 
@@ -277,7 +277,7 @@
                 most,
                 zone_most,
                 floor,
-                spare,
+                spare: spare.name().into(),
                 machines: machines.collect(),
             }
         };
--- a/crates/fleet/tests/work.rs
+++ b/crates/fleet/tests/work.rs
@@ -4,13 +4,13 @@
 use violetwind_fleet::work::Staff;
 use violetwind_fleet::{Answer, Call, Command, Effect, Name, State};
 use violetwind_storm::fleet::{Planted, World, name};
-use violetwind_workorders::{Bounds, Change, Machine, Order, Phase, Server, Spans, Step};
+use violetwind_workorders::{Bounds, Change, Machine, Order, Phase, Server, Spans, Spare, Step};
 
 const BOUNDS: Bounds = Bounds {
     most: 2,
     zone_most: 1,
     floor: 500,
-    spare: false,
+    spare: Spare::Nothing,
 };
 
 fn play(seed: u64, voters: usize, others: usize, planted: Planted) -> World {
@@ -102,6 +102,7 @@
         let server = Server {
             name: format!("s-{at}"),
             kind: "k".into(),
+            cell: 0,
             room: 10,
         };
         let machine = Machine {
@@ -125,6 +126,7 @@
             back: 1000,
         },
         not_before: 0,
+        wait: true,
         paused: false,
         cancelled: false,
     }
--- a/crates/lab/src/model/world/shift.rs
+++ b/crates/lab/src/model/world/shift.rs
@@ -6,7 +6,7 @@
 use violetwind_balancer::api::{ServerId, Status};
 use violetwind_workorders::{
     Bounds, Change, Facts, Machine, Member, Name, Number, Order, Orders, Phase, Report, Spans,
-    Step as Move, plan,
+    Spare, Step as Move, plan,
 };
 
 use super::super::server::Life;
@@ -52,6 +52,7 @@
                 servers: vec![violetwind_workorders::Server {
                     name: name(at),
                     kind: "all".into(),
+                    cell: 0,
                     room: (self.set.server.capacity * 1000.0) as u64,
                 }],
                 proxy: None,
@@ -76,7 +77,11 @@
                     most: work.most,
                     zone_most: work.zone_most,
                     floor: (work.floor * 1000.0).round() as u32,
-                    spare: work.spare,
+                    spare: if work.spare {
+                        Spare::Machine
+                    } else {
+                        Spare::Nothing
+                    },
                 },
                 spans: Spans {
                     leave: u64::MAX,
@@ -84,6 +89,7 @@
                     back: u64::MAX,
                 },
                 not_before: 0,
+                wait: true,
                 paused: false,
                 cancelled: false,
             };
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -167,9 +167,12 @@
     /// The part of all machines' room that stays in.
     #[arg(long, default_value_t = 0.8)]
     pub floor: f64,
-    /// The floor holds also when any one machine more is lost.
-    #[arg(long)]
-    pub spare: bool,
+    /// What may be lost besides, with the floor still held.
+    #[arg(long, default_value = "nothing", value_parser = ["nothing", "machine", "zone"])]
+    pub spare: String,
+    /// What happens to a machine: `out,wait,back`, or `out,back` where nobody has to say that it is done.
+    #[arg(long, default_value = "out,wait,back", value_parser = ["out,wait,back", "out,back"])]
+    pub steps: String,
     /// Nothing goes out before, in seconds since 1970.
     #[arg(long, value_name = "UNIX", default_value_t = 0.0)]
     pub not_before: f64,
--- a/crates/proxy/src/fleet/shift.rs
+++ b/crates/proxy/src/fleet/shift.rs
@@ -368,6 +368,7 @@
         let server = |seen: &violetwind_engine::SeenServer| Server {
             name: seen.uid.clone(),
             kind: seen.kind.clone().unwrap_or_default(),
+            cell: seen.cell,
             room: match seen.draining {
                 true => 0,
                 false => (seen.rating.filter(|room| *room > 0.0).unwrap_or(1.0) * 1000.0) as u64,
--- a/crates/proxy/src/service.rs
+++ b/crates/proxy/src/service.rs
@@ -326,7 +326,7 @@
 
 /// Staff's word on orders, for the fleet.
 fn staff_call(work: call::Work) -> fleet::Call {
-    use violetwind_workorders::{Bounds, Order, Spans};
+    use violetwind_workorders::{Bounds, Order, Spans, Spare};
     let staff = match work {
         call::Work::Show => return fleet::Call::WorkView,
         call::Work::Plan(plan) => Staff::Plan(Order {
@@ -336,7 +336,10 @@
                 most: plan.most,
                 zone_most: plan.zone_most,
                 floor: plan.floor,
-                spare: plan.spare,
+                spare: Spare::NAMES
+                    .iter()
+                    .find(|(name, _)| *name == plan.spare)
+                    .map_or(Spare::Nothing, |(_, spare)| *spare),
             },
             spans: Spans {
                 leave: plan.leave_ms,
@@ -344,6 +347,7 @@
                 back: plan.back_ms,
             },
             not_before: plan.not_before,
+            wait: plan.wait,
             paused: false,
             cancelled: false,
         }),
--- a/crates/proxy/src/staff.rs
+++ b/crates/proxy/src/staff.rs
@@ -145,13 +145,14 @@
 fn plan_line(plan: &Plan) -> String {
     let ms = |seconds: f64| (seconds.max(0.0) * 1000.0) as u64;
     format!(
-        "FLEET WORK PLAN {} {} most={} zone-most={} floor={} spare={} not-before={} leave={} work={} back={}",
+        "FLEET WORK PLAN {} {} most={} zone-most={} floor={} spare={} wait={} not-before={} leave={} work={} back={}",
         plan.name,
         plan.machines,
         plan.most,
         plan.zone_most,
         (plan.floor * 1000.0).round() as i64,
-        u8::from(plan.spare),
+        plan.spare,
+        u8::from(plan.steps == "out,wait,back"),
         ms(plan.not_before),
         ms(plan.leave),
         ms(plan.work),
@@ -187,10 +188,10 @@
             order["most"],
             order["zone_most"],
             order["floor"].as_f64().unwrap_or(0.0) / 1000.0,
-            if order["spare"] == true {
-                " with one more lost"
-            } else {
-                ""
+            match order["spare"].as_str() {
+                Some("machine") => " with one machine more lost",
+                Some("zone") => " with one zone more lost",
+                _ => "",
             },
         );
         let columns = [
--- a/crates/service/src/call.rs
+++ b/crates/service/src/call.rs
@@ -75,7 +75,10 @@
     pub zone_most: u32,
     /// Thousandths.
     pub floor: u32,
-    pub spare: bool,
+    /// What may be lost besides: `nothing`, `machine` or `zone`.
+    pub spare: String,
+    /// Staff say when an empty machine is done.
+    pub wait: bool,
     /// Unix time in milliseconds.
     pub not_before: u64,
     pub leave_ms: u64,
@@ -128,8 +131,8 @@
                 "machines are names with commas between them, or ranges such as m-1..m-12, 1000 at most"
             }
             Self::NoBound => {
-                "bounds are most, zone-most (1 and more), floor (0 to 1000), spare (0 or 1), not-before (ms since 1970), \
-                 leave, work and back (ms), each with a number, once"
+                "bounds are most, zone-most (1 and more), floor (0 to 1000), wait (0 or 1), not-before (ms since 1970), \
+                 leave, work and back (ms), each with a number, and spare (nothing, machine or zone), once"
             }
         })
     }
@@ -274,7 +277,8 @@
         most: 1,
         zone_most: 1,
         floor: 800,
-        spare: false,
+        spare: "nothing".into(),
+        wait: true,
         not_before: 0,
         leave_ms: hour / 4,
         work_ms: 12 * hour,
@@ -283,6 +287,10 @@
     let mut said = BTreeSet::new();
     for bound in bounds {
         let (key, number) = bound.split_once('=').ok_or(Fault::NoBound)?;
+        if key == "spare" && ["nothing", "machine", "zone"].contains(&number) && said.insert(key) {
+            plan.spare = number.into();
+            continue;
+        }
         let number: u64 = number.parse().map_err(|_| Fault::NoBound)?;
         let small = |from: u64, to: u64| match (from..=to).contains(&number) {
             true => Ok(number as u32),
@@ -293,7 +301,7 @@
             "most" => plan.most = small(1, 10_000)?,
             "zone-most" => plan.zone_most = small(1, 10_000)?,
             "floor" => plan.floor = small(0, 1000)?,
-            "spare" => plan.spare = small(0, 1)? == 1,
+            "wait" => plan.wait = small(0, 1)? == 1,
             "not-before" => plan.not_before = number,
             "leave" => plan.leave_ms = number,
             "work" => plan.work_ms = number,
--- a/crates/service/tests/service.rs
+++ b/crates/service/tests/service.rs
@@ -260,3 +260,85 @@
         prop_assert!(!matches!(reader.next(&limits()), Ok(Some(_))));
     }
 }
+
+/// Orders for work as staff word them: defaults, ranges, bounds, and a plain word where it makes no sense.
+#[test]
+fn calls_about_work_are_read_whole_or_refused_with_a_word() {
+    use violetwind_service::call::{Fault, Fleet, Work, read};
+    let limits = Limits::default();
+    let read = |line: &str| read(line.as_bytes(), &limits);
+    let work = |line: &str| match read(line) {
+        Ok(Call::Fleet(Fleet::Work(work))) => work,
+        other => panic!("{line}: {other:?}"),
+    };
+    assert_eq!(work("FLEET WORK"), Work::Show);
+    assert_eq!(work("FLEET WORK PAUSE"), Work::Pause(None));
+    assert_eq!(work("FLEET WORK RESUME 7"), Work::Resume(Some(7)));
+    assert_eq!(work("FLEET WORK DONE m-1"), Work::Done("m-1".into()));
+    let Work::Plan(plan) =
+        work("FLEET WORK PLAN kernel m-08..m-11,x most=2 spare=zone wait=0 back=9")
+    else {
+        panic!("a plan")
+    };
+    let names: Vec<&str> = plan.machines.iter().map(String::as_str).collect();
+    assert_eq!(names, ["m-08", "m-09", "m-10", "m-11", "x"]);
+    assert_eq!((plan.most, plan.zone_most, plan.floor), (2, 1, 800));
+    assert_eq!(
+        (plan.spare.as_str(), plan.wait, plan.back_ms),
+        ("zone", false, 9)
+    );
+    for (line, fault) in [
+        ("FLEET WORK PLAN kernel", Fault::NoWorkCall),
+        ("FLEET WORK PAUSE x", Fault::NoWorkCall),
+        ("FLEET WORK PAUSE 1 2", Fault::TooMany),
+        ("FLEET WORK PLAN k m-2..m-1", Fault::NoMachines),
+        ("FLEET WORK PLAN k m-1..n-2", Fault::NoMachines),
+        ("FLEET WORK PLAN k m-1,,m-2", Fault::NoMachines),
+        ("FLEET WORK PLAN k m-1..m-2000", Fault::NoMachines),
+        (
+            "FLEET WORK PLAN k m-1..m-99999999999999999999",
+            Fault::NoMachines,
+        ),
+        ("FLEET WORK PLAN k m most=0", Fault::NoBound),
+        ("FLEET WORK PLAN k m floor=1001", Fault::NoBound),
+        ("FLEET WORK PLAN k m most=1 most=2", Fault::NoBound),
+        ("FLEET WORK PLAN k m spare=all", Fault::NoBound),
+        ("FLEET WORK PLAN k m width=1", Fault::NoBound),
+    ] {
+        assert_eq!(read(line), Err(fault), "{line}");
+    }
+}
+
+/// Machines by the operator's file, and servers that are out by an order whatever lists say later.
+#[test]
+fn outs_go_by_machines_also_for_servers_that_no_list_has_named_yet() {
+    use std::collections::BTreeSet;
+    use violetwind_service::{Machines, Outs};
+    let machines = Machines {
+        until: Some("/".into()),
+        named: [("odd".to_string(), "m-2".to_string())].into(),
+    };
+    let mut outs = Outs::new(machines);
+    assert!(!outs.is_out("m-2/a"));
+    let on = BTreeSet::from(["elsewhere/x".to_string()]);
+    outs.set([("m-2".to_string(), on)].into());
+    assert!(
+        ["m-2/a", "odd", "elsewhere/x"]
+            .iter()
+            .all(|uid| outs.is_out(uid))
+    );
+    assert!(!outs.is_out("m-20/a") && !outs.is_out("m-3/odd"));
+    // An operator's word is stronger, until the machine is back.
+    let limits = Limits::default();
+    outs.note("odd", 1000, &limits);
+    assert!(outs.word("odd", true) && !outs.word("odd", true) && !outs.is_out("odd"));
+    assert!(!outs.word("m-3/odd", true));
+    assert!(outs.word("odd", false) && outs.is_out("odd"));
+    outs.word("odd", true);
+    outs.set([].into());
+    assert!(!outs.is_out("odd") && !outs.is_opened("odd"));
+    // Started anew while it was out, as far as is known: cold from when it came back.
+    outs.note("odd", 5000, &limits);
+    assert_eq!(outs.born("odd", Some(10)), Some(5000));
+    assert_eq!(outs.born("odd", Some(2000)), Some(2000));
+}
--- a/crates/storm/examples/nights.rs
+++ b/crates/storm/examples/nights.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use violetwind_storm::night::Night;
-use violetwind_workorders::Bounds;
+use violetwind_workorders::{Bounds, Spare};
 
 fn main() {
     println!(
@@ -17,7 +17,7 @@
                 most: most as u32,
                 zone_most: most as u32,
                 floor: 800,
-                spare: true,
+                spare: Spare::Machine,
             };
             let mut night = Night::even(7, machines, proxies, bounds, each);
             let begun = Instant::now();
--- a/crates/storm/src/fleet/proxies.rs
+++ b/crates/storm/src/fleet/proxies.rs
@@ -59,6 +59,7 @@
             servers: vec![Server {
                 name: format!("s-{at}"),
                 kind: "k".into(),
+                cell: 0,
                 room: 10,
             }],
             proxy: None,
@@ -96,6 +97,7 @@
                 back: 20_000,
             },
             not_before: 0,
+            wait: true,
             paused: false,
             cancelled: false,
         };
--- a/crates/storm/src/night.rs
+++ b/crates/storm/src/night.rs
@@ -60,6 +60,7 @@
     Server {
         name: format!("s-{machine}-{kind}"),
         kind: format!("k-{kind}"),
+        cell: 0,
         room,
     }
 }
@@ -95,7 +96,11 @@
             most: rng.random_range(1..4),
             zone_most: rng.random_range(1..3),
             floor: rng.random_range(0..700),
-            spare: rng.random_bool(0.3),
+            spare: if rng.random_bool(0.3) {
+                Spare::Machine
+            } else {
+                Spare::Nothing
+            },
         };
         let mut orders = Orders::default();
         orders.apply(Change::Machines(machines.clone())).unwrap();
@@ -432,6 +437,7 @@
             back: 100,
         },
         not_before: 0,
+        wait: true,
         paused: false,
         cancelled: false,
     }
@@ -442,7 +448,7 @@
     most: 9,
     zone_most: 9,
     floor: 0,
-    spare: false,
+    spare: Spare::Nothing,
 };
 
 /// Machines `m-0` on, each of a zone, a kind, a room, and maybe a voter's.
--- a/crates/workorders/src/lib.rs
+++ b/crates/workorders/src/lib.rs
@@ -24,5 +24,6 @@
 pub use orders::{Orders, Place, Refused};
 pub use planner::{Facts, Member, Next, Report, plan};
 pub use words::{
-    Bounds, Change, Listed, Machine, Millis, Name, Number, Order, Phase, Server, Spans, Step, Why,
+    Bounds, Change, Listed, Machine, Millis, Name, Number, Order, Phase, Server, Spans, Spare,
+    Step, Why,
 };
--- a/crates/workorders/src/orders.rs
+++ b/crates/workorders/src/orders.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::limits::Caps;
-use crate::words::{Change, Machine, Name, Number, Order, Phase, Step, Why};
+use crate::words::{Change, Machine, Name, Number, Order, Phase, Spare, Step, Why};
 
 /// Why a change was not made, or a machine does not go yet: for staff to read.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,6 +36,7 @@
         least: u64,
     },
     OnlyOfKind(Name),
+    OnlyOfCell(u64),
     /// A voter's machine, while another is out or no majority would be left.
     Voters,
 }
@@ -56,6 +57,7 @@
                 write!(f, "room of {left} would be left, {least} has to be")
             }
             Self::OnlyOfKind(kind) => write!(f, "it has the only room of kind {kind}"),
+            Self::OnlyOfCell(cell) => write!(f, "it has the only room of cell {cell}"),
             Self::Voters => {
                 f.write_str("another voter of the fleet is out, or too few would be left")
             }
@@ -247,7 +249,9 @@
                 };
                 Phase::Failed(why)
             }
-            (Phase::Empty, Step::Worked) if staff => Phase::Returning { worked: true },
+            (Phase::Empty, Step::Worked) if staff == order.wait => {
+                Phase::Returning { worked: true }
+            }
             (Phase::Empty, Step::Recall) if order.cancelled => Phase::Returning { worked: false },
             (Phase::Empty | Phase::Returning { .. }, Step::Fail(Why::Staff)) if staff => {
                 Phase::Failed(Why::Staff)
@@ -343,14 +347,32 @@
             if !stays().any(|(_, machine)| same(machine)) {
                 return Err(Refused::OnlyOfKind(server.kind.clone()));
             }
+            // One that is alone in its cell has nobody to know its repeats at any time.
+            let cell = |m: &Machine| {
+                m.servers
+                    .iter()
+                    .any(|s| s.cell == server.cell && s.room > 0)
+            };
+            let others = self
+                .machines
+                .iter()
+                .any(|(other, m)| other != name && cell(m));
+            if others && !stays().any(|(_, machine)| cell(machine)) {
+                return Err(Refused::OnlyOfCell(server.cell));
+            }
         }
         let total: u64 = self.machines.values().map(Machine::room).sum();
         let left: u64 = stays().map(|(_, machine)| machine.room()).sum();
-        let largest = stays()
-            .map(|(_, machine)| machine.room())
-            .max()
-            .unwrap_or(0);
-        let left = left - if bounds.spare { largest } else { 0 };
+        let mut lost: BTreeMap<&Name, u64> = BTreeMap::new();
+        for (name, machine) in stays() {
+            let part = match bounds.spare {
+                Spare::Nothing => continue,
+                Spare::Machine => name,
+                Spare::Zone => &machine.zone,
+            };
+            *lost.entry(part).or_default() += machine.room();
+        }
+        let left = left - lost.into_values().max().unwrap_or(0);
         let least = (total * u64::from(bounds.floor)).div_ceil(1000);
         match left >= least {
             true => Ok(()),
--- a/crates/workorders/src/planner.rs
+++ b/crates/workorders/src/planner.rs
@@ -111,6 +111,7 @@
                 Phase::Empty if order.cancelled => Ok(Step::Recall),
                 Phase::Empty if facts.opened(name, place.version) => Ok(Step::Fail(Why::Opened)),
                 Phase::Empty if since >= order.spans.work => Ok(Step::Fail(Why::NeverWorked)),
+                Phase::Empty if !order.wait => Ok(Step::Worked),
                 Phase::Empty => Err("it is empty, and waits for `work done`".into()),
                 Phase::Returning { .. } => returning(facts, name, place, since >= order.spans.back),
                 Phase::Failed(why) => Err(format!(
--- a/crates/workorders/src/words.rs
+++ b/crates/workorders/src/words.rs
@@ -21,6 +21,8 @@
 pub struct Server {
     pub name: Name,
     pub kind: Name,
+    /// Servers of one cell know each other's repeats: some of it stays in.
+    pub cell: u64,
     /// How much it can hold, in a unit that is the same for all.
     pub room: u64,
 }
@@ -48,8 +50,31 @@
     pub zone_most: u32,
     /// Thousandths of all machines' room that stay in.
     pub floor: u32,
-    /// The floor holds also when any one machine more is lost.
-    pub spare: bool,
+    pub spare: Spare,
+}
+
+/// What may be lost besides, with the floor still held.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Spare {
+    #[default]
+    Nothing,
+    /// Any one machine more.
+    Machine,
+    /// All of any one zone that stays in.
+    Zone,
+}
+
+impl Spare {
+    pub const NAMES: [(&str, Self); 3] = [
+        ("nothing", Self::Nothing),
+        ("machine", Self::Machine),
+        ("zone", Self::Zone),
+    ];
+
+    pub fn name(self) -> &'static str {
+        let named = Self::NAMES.iter().find(|(_, spare)| *spare == self);
+        named.map_or("?", |(name, _)| name)
+    }
 }
 
 /// How long each phase may last, by the clock of whoever conducts; counted anew by a successor.
@@ -72,6 +97,8 @@
     pub spans: Spans,
     /// Nothing goes out before, in milliseconds since 1970; 0 for at once.
     pub not_before: Millis,
+    /// Staff say when an empty machine is done; otherwise it comes back at once.
+    pub wait: bool,
     pub paused: bool,
     /// Nothing more goes out; what is out comes back.
     pub cancelled: bool,
--- a/crates/workorders/tests/nights.rs
+++ b/crates/workorders/tests/nights.rs
@@ -100,7 +100,7 @@
         )
     );
     let spare = Bounds {
-        spare: true,
+        spare: Spare::Machine,
         ..floor
     };
     assert_eq!(
@@ -304,3 +304,59 @@
     facts.wall = 1000;
     assert_eq!(plan(&orders, &facts).steps[0].3, Step::Out);
 }
+
+/// The floor with a whole zone lost besides, and a cell of which nothing would stay in.
+#[test]
+fn a_zone_may_be_lost_besides_and_some_of_each_cell_stays() {
+    let machines = [
+        ("a", 0, 10, false),
+        ("a", 0, 10, false),
+        ("b", 0, 10, false),
+        ("c", 0, 10, false),
+    ];
+    let bounds = Bounds {
+        floor: 250,
+        spare: Spare::Zone,
+        ..WIDE
+    };
+    let mut orders = fleet(&machines);
+    let all = ["m-0", "m-1", "m-2", "m-3"];
+    orders.apply(Change::Plan(order(&all, bounds))).unwrap();
+    // Without m-2 zone a may be lost and ten are left, which is enough.
+    assert_eq!(step(&mut orders, "m-2", Step::Out, Some(1)), Ok(()));
+    assert_eq!(
+        step(&mut orders, "m-3", Step::Out, Some(1)),
+        Err(Refused::Floor { left: 0, least: 10 })
+    );
+    let mut machines = orders.machines().clone();
+    for name in ["m-0", "m-1"] {
+        machines.get_mut(name).unwrap().servers[0].cell = 7;
+    }
+    let mut orders = Orders::default();
+    orders.apply(Change::Machines(machines)).unwrap();
+    orders.apply(Change::Plan(order(&all, WIDE))).unwrap();
+    assert_eq!(step(&mut orders, "m-0", Step::Out, Some(1)), Ok(()));
+    assert_eq!(
+        step(&mut orders, "m-1", Step::Out, Some(1)),
+        Err(Refused::OnlyOfCell(7))
+    );
+}
+
+/// Where nobody has to say that it is done an empty machine comes back at once, and staff have no word in it.
+#[test]
+fn an_order_without_a_wait_brings_machines_back_by_itself() {
+    let mut orders = fleet(&[("a", 0, 10, false); 3]);
+    let mut plain = order(&["m-0"], WIDE);
+    plain.wait = false;
+    orders.apply(Change::Plan(plain)).unwrap();
+    step(&mut orders, "m-0", Step::Out, Some(1)).unwrap();
+    step(&mut orders, "m-0", Step::Empty, Some(1)).unwrap();
+    let next = plan(&orders, &Facts::default());
+    assert_eq!(next.steps[0].3, Step::Worked);
+    assert_eq!(
+        step(&mut orders, "m-0", Step::Worked, None),
+        Err(Refused::OutOfTurn)
+    );
+    assert_eq!(step(&mut orders, "m-0", Step::Worked, Some(1)), Ok(()));
+    assert_eq!(place(&orders, "m-0").2, Phase::Returning { worked: true });
+}
