A watch of discovery that has fallen silent is opened anew before what it missed counts

Ruled out: attempts recalled too late (list version 4 reached 256 proxies within 40 ms of its making, and none of them sent later); lists taken late (the late ones are exactly those whose watch was silent). At fault: asking.rs treated a silent watch like a service that is down, and watch_slack gave it up at the very moment when it counts.

Now such a watch is given up 1 s after its wait and opened anew within 100 ms, once; if that is silent too it waits as before.

--- a/crates/proxy/src/asking.rs
+++ b/crates/proxy/src/asking.rs
@@ -22,9 +22,20 @@
 pub enum Failure {
     /// The service does not know the version any more.
     Forgotten(String),
+    /// A watch brought nothing, not even that nothing is new, when its time was over: the service may work for all
+    /// that, and what it wrote meanwhile counts as told.
+    Silent(String),
     Other(String),
 }
 
+impl Failure {
+    pub fn what(self) -> String {
+        match self {
+            Self::Forgotten(what) | Self::Silent(what) | Self::Other(what) => what,
+        }
+    }
+}
+
 /// What is to be done with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -39,6 +50,8 @@
 pub struct Asking {
     version: Option<u64>,
     answered: bool,
+    /// A silent watch was followed by a call at once, which has not been answered.
+    prompt: bool,
     wait: Duration,
     first: Duration,
     most: Duration,
@@ -52,6 +65,7 @@
         Self {
             version: known,
             answered: known.is_some(),
+            prompt: false,
             wait: limits.backoff,
             first: limits.backoff,
             most: limits.backoff_most,
@@ -80,7 +94,7 @@
         rows: usize,
         took: Duration,
     ) -> (Verdict, Duration) {
-        self.answered = true;
+        (self.answered, self.prompt) = (true, false);
         self.wait = self.first;
         // A version that goes back, or changes to a list never had, can't be applied.
         if !whole && self.version.is_none_or(|had| version < had) {
@@ -105,6 +119,11 @@
         if matches!(failure, Failure::Forgotten(_)) {
             self.version = None;
         }
+        // One of many watches that broke is no sign that all did: it is opened anew before what it missed counts. If
+        // that brings nothing either, this proxy waits like all others.
+        if matches!(failure, Failure::Silent(_)) && !std::mem::replace(&mut self.prompt, true) {
+            return self.gap.mul_f64(chance);
+        }
         let wait = self.wait.mul_f64(0.25 + 0.75 * chance);
         let most = match self.answered {
             true => self.most,
@@ -241,6 +260,24 @@
         assert_eq!(asking.call(), Call::Since(3));
     }
 
+    /// A watch that had fallen silent was opened anew up to 8.8 s later in a fleet of 300, and drains that it had
+    /// missed counted as told all that while.
+    #[test]
+    fn a_silent_watch_is_opened_anew_at_once_and_a_second_one_waits() {
+        let limits = limits(300);
+        let mut asking = Asking::new(&limits, Some(41));
+        let silent = Failure::Silent("no answer in time".into());
+        for _ in 0..3 {
+            assert!(asking.failed(&silent, 1.0) <= limits.call_gap);
+            assert_eq!(asking.call(), Call::Since(41));
+            assert!(asking.failed(&silent, 0.0) >= limits.backoff / 4);
+            asking.answered(41, false, 0, COST);
+        }
+        // Before what it missed counts as told: two seconds after the wait.
+        let again = limits.watch_slack + limits.call_gap + limits.discovery_connect / 2;
+        assert!(again < Duration::from_secs(2));
+    }
+
     /// Sixty seconds of failures: calls go on, at a rate that the fleet's size bounds.
     #[test]
     fn failures_in_a_row_are_asked_ever_more_rarely() {
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -222,7 +222,7 @@
         connection: None,
     };
     let list = client.get("/registry/instances", within).await;
-    let list = list.map_err(|(Failure::Forgotten(error) | Failure::Other(error))| error)?;
+    let list = list.map_err(Failure::what)?;
     match Tells::Source("".into(), zones).list(true, list.rows) {
         Notice::Told(_, telling) => Ok(telling),
         other => Err(format!("{other:?}")),
@@ -281,7 +281,13 @@
             Call::Since(version) => {
                 let path = format!("/registry/instances?after={version}&wait_ms={wait_ms}");
                 let within = limits.watch_wait + limits.watch_slack;
-                client.get(&path, within).await
+                client.get(&path, within).await.map_err(|failure| {
+                    // Nothing came though all its time has passed.
+                    match asked.elapsed() >= within {
+                        true => Failure::Silent(failure.what()),
+                        false => failure,
+                    }
+                })
             }
         };
         let (notice, wait) = match answer {
@@ -303,7 +309,7 @@
             }
             Err(failure) => {
                 let wait = asking.failed(&failure, rand::random());
-                let (Failure::Forgotten(error) | Failure::Other(error)) = failure;
+                let error = failure.what();
                 warn!(%error, again_ms = wait.as_millis() as u64, "discovery");
                 (Some(tells.lost()), wait)
             }
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -217,7 +217,8 @@
             discovery_connect: ms(1000),
             call_gap: ms(100),
             watch_wait: secs(0.6 * ask_within),
-            watch_slack: secs(0.2 * ask_within),
+            // What a silent watch misses counts as told 2 s after its wait: there has to be time to ask anew.
+            watch_slack: secs((0.2 * ask_within).min(1.0)),
             backoff,
             // A proxy whose call failed counts as told of all after four times that time.
             backoff_most: (4 * backoff).clamp(secs(0.2 * ask_within), secs(3.5 * ask_within)),
