violetwind-lab storm: scripts of faults by seed, played, shrunk and shown on a page

Faults are words of a script now, drawn as before, so that named seeds stay; a script is a TOML file, plays alike on any thread, and is cut to the faults, members and time that still break the same promise. Frames may come twice; operators put members out, let them in and look, and what they were told has to be linearizable.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod report;
 pub mod scenario;
 pub mod stats;
+pub mod storm;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,6 +14,9 @@
 use violetwind_lab::report::{self, Played};
 use violetwind_lab::scenario::Scenario;
 use violetwind_lab::stats::Estimate;
+use violetwind_lab::storm;
+use violetwind_storm::fleet::Planted;
+use violetwind_storm::script::{Script, Shape};
 
 /// The fleet lab: whole fleets in simulated time, on the real decision module.
 #[derive(Debug, Parser)]
@@ -95,6 +98,42 @@
         #[arg(long, default_value_t = 200)]
         most: usize,
     },
+    /// Scripts of faults over whole members of a fleet, simulated on the real code, by seed: budgets, work on machines, duties,
+    /// operators. What breaks a promise is cut to the least and written as a file. Exit 1 where one was broken.
+    Storm {
+        /// Play this script alone.
+        #[arg(long, value_name = "FILE", conflicts_with = "seeds")]
+        script: Option<PathBuf>,
+        #[arg(long, default_value_t = 200)]
+        seeds: u64,
+        #[arg(long, default_value_t = 0)]
+        first: u64,
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u16).range(1..=7))]
+        voters: u16,
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(0..=1000))]
+        others: u16,
+        /// That an order for work is for; 0 for none.
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(0..=1000))]
+        machines: u16,
+        #[arg(long)]
+        no_budgets: bool,
+        /// Simulated time in which faults come.
+        #[arg(long, default_value_t = 30.0)]
+        seconds: f64,
+        /// Plant an error, by name.
+        #[arg(long, value_parser = planted)]
+        planted: Option<Planted>,
+        #[arg(long)]
+        threads: Option<usize>,
+        /// Findings go there as scripts, one a file.
+        #[arg(long, value_name = "DIR")]
+        findings: Option<PathBuf>,
+        /// One HTML page of the script, or of the first seed.
+        #[arg(long, value_name = "FILE")]
+        report: Option<PathBuf>,
+        #[arg(long)]
+        json: bool,
+    },
     /// One value over a grid.
     Sweep {
         #[command(flatten)]
@@ -144,6 +183,14 @@
     replay_rate: f64,
 }
 
+fn planted(text: &str) -> Result<Planted, String> {
+    let found = Planted::NAMES.iter().find(|(name, _)| *name == text);
+    found.map(|(_, planted)| *planted).ok_or_else(|| {
+        let names: Vec<&str> = Planted::NAMES.iter().map(|(name, _)| *name).collect();
+        format!("expected one of {}", names.join(", "))
+    })
+}
+
 fn policy(text: &str) -> Result<PolicyKind, String> {
     let found = PolicyKind::NAMES.iter().find(|(name, _)| *name == text);
     found.map(|(_, kind)| *kind).ok_or_else(|| {
@@ -299,6 +346,99 @@
                 Quarry::Loss(_) => ExitCode::SUCCESS,
             })
         }
+        Command::Storm {
+            script,
+            seeds,
+            first,
+            voters,
+            others,
+            machines,
+            no_budgets,
+            seconds,
+            planted,
+            threads: asked,
+            findings,
+            report,
+            json,
+        } => {
+            let planted = planted.unwrap_or_default();
+            let shape = Shape {
+                voters: voters.into(),
+                others: others.into(),
+                machines: machines.into(),
+                budgets: !no_budgets,
+                lasts: (seconds.clamp(0.1, 1e6) * 1e3) as u64,
+            };
+            let told = |what: String| {
+                eprintln!("{what}");
+                ExitCode::FAILURE
+            };
+            if let Some(path) = &script {
+                let name = path.display();
+                let text = std::fs::read_to_string(path);
+                let text = text.map_err(|error| told(format!("{name}: {error}")))?;
+                let script =
+                    Script::parse(&text).map_err(|what| told(format!("{name}: {what}")))?;
+                let wrong = match &report {
+                    Some(page) => storm::report(&script, planted, page)
+                        .map_err(|error| told(format!("{}: {error}", page.display())))?,
+                    None => script.play(planted, 0).wrong,
+                };
+                println!("{}", wrong.as_deref().unwrap_or("no promise broken"));
+                return Ok(if wrong.is_some() {
+                    ExitCode::FAILURE
+                } else {
+                    ExitCode::SUCCESS
+                });
+            }
+            let begun = Instant::now();
+            let played = storm::campaign(first, seeds, shape, planted, threads(asked));
+            if let Some(page) = &report {
+                storm::report(&Script::draw(first, shape), planted, page)
+                    .map_err(|error| told(format!("{}: {error}", page.display())))?;
+            }
+            let members = (shape.voters + shape.others) as f64;
+            let took = begun.elapsed().as_secs_f64();
+            if json {
+                println!("{:#}", played.to_json());
+            } else {
+                println!(
+                    "{} seeds, {} simulated s, {} faults, {} times a leader, {} duties gained, {} frames, {} machines worked on, \
+                     {} units taken; {} seeds broke a promise; {took:.1} s, {:.0} node-seconds a second",
+                    played.seeds,
+                    played.millis / 1000,
+                    played.faults,
+                    played.leads,
+                    played.gained,
+                    played.frames,
+                    played.done,
+                    played.taken,
+                    played.broken,
+                    played.millis as f64 / 1e3 * members / took
+                );
+            }
+            for finding in &played.findings {
+                let seed = finding.drawn.seed;
+                eprintln!(
+                    "seed {seed}: {}; {} of {} faults are left after {} plays",
+                    finding.wrong,
+                    finding.least.faults.len(),
+                    finding.drawn.faults.len(),
+                    finding.plays
+                );
+                if let Some(dir) = &findings {
+                    let path = dir.join(format!("storm-{seed}.toml"));
+                    let written = std::fs::create_dir_all(dir)
+                        .and_then(|()| std::fs::write(&path, finding.least.to_toml()));
+                    written.map_err(|error| told(format!("{}: {error}", path.display())))?;
+                }
+            }
+            Ok(if played.broken > 0 {
+                ExitCode::FAILURE
+            } else {
+                ExitCode::SUCCESS
+            })
+        }
         Command::Sweep {
             common,
             key,
--- a/crates/storm/src/fleet.rs
+++ b/crates/storm/src/fleet.rs
@@ -1,6 +1,8 @@
 //! Whole members in simulated time: One Holder, Fencing and Held Again are checked from outside at every step,
 //! programs that work on a duty included; clocks of processes start anywhere and run apart.
 
+mod faults;
+mod operators;
 mod proxies;
 
 use std::cmp::Reverse;
@@ -10,11 +12,15 @@
 use rand_pcg::Pcg32;
 use violetwind_consensus::{Millis, NodeId};
 use violetwind_fleet::budget::{Def, Kind, Part};
+
+use crate::linear;
 use violetwind_fleet::{
     Answer, Call, Config, Event, Input, Limits, Member, Name, Number, Order, Output, Peer, Record,
     Saved, Why,
 };
 
+pub use faults::Fault;
+pub(crate) use faults::draw;
 pub use proxies::{Proxy, Shift};
 
 pub const STEP: Millis = 5;
@@ -36,10 +42,41 @@
     ExtraUnit,
     /// A proxy confirms that a machine is closed, and empty, before it is.
     HastyProxy,
+    /// A killed voter's snapshot comes back without sessions.
+    LostSnapshot,
+    /// A killed voter forgets its term and whom it voted for.
+    ForgetsVote,
+    /// A killed proxy's list is lost, and the next one serves without.
+    ServesUnlisted,
+    /// What counts budgets elsewhere in a process does not look when its part ends.
+    OverstaysPart,
+    /// Connections at servers outlive their killed process by seconds.
+    ConnectionsOutlive,
+    /// Operators are shown what was so a while ago.
+    StaleViews,
     /// A proxy confirms what it has not written down, and starts anew by an older list.
     ForgetfulProxy,
 }
 
+impl Planted {
+    /// Every error, by the name that the command line knows it by.
+    pub const NAMES: [(&str, Self); 13] = [
+        ("longer-lease", Self::LongerLease),
+        ("wild-clocks", Self::WildClocks),
+        ("ack-before-sync", Self::AckBeforeSync),
+        ("deaf-program", Self::DeafProgram),
+        ("extra-unit", Self::ExtraUnit),
+        ("hasty-proxy", Self::HastyProxy),
+        ("forgetful-proxy", Self::ForgetfulProxy),
+        ("lost-snapshot", Self::LostSnapshot),
+        ("forgets-vote", Self::ForgetsVote),
+        ("serves-unlisted", Self::ServesUnlisted),
+        ("overstays-part", Self::OverstaysPart),
+        ("connections-outlive", Self::ConnectionsOutlive),
+        ("stale-views", Self::StaleViews),
+    ];
+}
+
 /// A process's clock against true time, in parts per thousand.
 #[derive(Clone, Copy, Debug)]
 struct Clock {
@@ -104,6 +141,13 @@
     pub frames: u64,
     pub cut: BTreeSet<(Name, Name)>,
     pub loss: f64,
+    /// Part of all frames that come twice.
+    pub repeat: f64,
+    /// Calls about who is put out, by member: who called when, and when the answer came.
+    history: BTreeMap<Name, Vec<linear::Call>>,
+    asked_out: BTreeMap<Number, (Name, Option<(Name, bool)>, Millis)>,
+    /// Operators look at the fleet now and then.
+    pub looks: bool,
     pub delay: (Millis, Millis),
     pub planted: Planted,
     next: Number,
@@ -194,6 +238,10 @@
             frames: 0,
             cut: BTreeSet::new(),
             loss: 0.0,
+            repeat: 0.0,
+            history: BTreeMap::new(),
+            asked_out: BTreeMap::new(),
+            looks: false,
             delay: (0, 10),
             planted,
             next: 0,
@@ -307,7 +355,9 @@
         host.calls.clear();
         host.asked.clear();
         // Its connections end with it.
-        host.units.clear();
+        if planted != Planted::ConnectionsOutlive {
+            host.units.clear();
+        }
         host.parts.clear();
         host.denied.clear();
         host.words.clear();
@@ -324,6 +374,23 @@
                 saved.apply(record).unwrap();
             }
         }
+        let disk = self
+            .hosts
+            .get_mut(name)
+            .and_then(|host| host.saved.as_mut());
+        match (planted, disk.map(|saved| &mut saved.disk)) {
+            (Planted::LostSnapshot, Some(disk)) => {
+                if let Some(snapshot) = disk.snapshot.as_mut().filter(|s| !s.data.is_empty()) {
+                    snapshot.data = violetwind_fleet::State::default().encode();
+                }
+            }
+            (Planted::ForgetsVote, Some(disk)) => {
+                let last = disk.entries.last().map(|entry| entry.term);
+                let kept = disk.snapshot.as_ref().map_or(0, |snapshot| snapshot.term);
+                (disk.term, disk.vote) = (last.unwrap_or(kept), None);
+            }
+            _ => {}
+        }
     }
 
     /// An empty directory in the place of the old one: somebody else.
@@ -391,6 +458,7 @@
             self.use_budgets(name);
             self.serve(name);
         }
+        self.look();
         self.staff();
         self.check();
         self.check_work();
@@ -501,7 +569,7 @@
         let Some(part) = host.parts.get(budget) else {
             return;
         };
-        let units = if at < part.until {
+        let units = if at < part.until || self.planted == Planted::OverstaysPart {
             part.units
         } else {
             part.after
@@ -654,6 +722,10 @@
                         || self.rng.random_bool(self.loss);
                     if !lost && self.hosts.contains_key(&to) {
                         let due = now + self.rng.random_range(self.delay.0..=self.delay.1);
+                        if self.repeat > 0.0 && self.rng.random_bool(self.repeat) {
+                            let again = due + self.rng.random_range(0..200);
+                            self.fly(again, name, to.clone(), peer.clone());
+                        }
                         self.fly(due, name, to, peer);
                     }
                 }
@@ -691,6 +763,9 @@
     }
 
     fn answered(&mut self, name: &str, number: Number, answer: Answer) {
+        if let Some(asked) = self.asked_out.remove(&number) {
+            return self.told_out(asked, &answer);
+        }
         let host = self.hosts.get_mut(name).unwrap();
         if let Some(key) = host.asked.remove(&number) {
             match answer {
@@ -832,111 +907,4 @@
             .max_by_key(|(_, host)| term(host));
         best.map(|(name, _)| name.clone())
     }
-
-    /// Cuts a member off from some, in one direction or both.
-    pub fn part(&mut self, from: &[Name], to: &[Name], both: bool) {
-        for a in from {
-            for b in to {
-                self.cut.insert((a.clone(), b.clone()));
-                if both {
-                    self.cut.insert((b.clone(), a.clone()));
-                }
-            }
-        }
-    }
-
-    /// A day of trouble, drawn by the seed, and then quiet: everything has to be held again.
-    pub fn trouble(&mut self, millis: Millis) {
-        let until = self.now + millis;
-        let names: Vec<Name> = self.hosts.keys().cloned().collect();
-        let any = |rng: &mut Pcg32| names[rng.random_range(0..names.len())].clone();
-        self.loss = [0.0, 0.0, 0.05][self.rng.random_range(0..3)];
-        self.delay = [(0, 5), (0, 20), (10, 120)][self.rng.random_range(0..3)];
-        while self.now < until && self.wrong.is_none() {
-            match self.rng.random_range(0..100) {
-                0..3 => {
-                    let (name, away) = (any(&mut self.rng), self.rng.random_range(1..3000));
-                    self.kill(&name);
-                    self.hosts.get_mut(&name).unwrap().back = Some(self.now + away);
-                }
-                3..7 => {
-                    let (name, away) = (any(&mut self.rng), self.rng.random_range(100..7000));
-                    self.hosts.get_mut(&name).unwrap().stopped = self.now + away;
-                }
-                7..11 => {
-                    let (a, b, both) = (
-                        any(&mut self.rng),
-                        any(&mut self.rng),
-                        self.rng.random_bool(0.5),
-                    );
-                    self.part(&[a], &[b], both);
-                }
-                11..14 => {
-                    let (one, side): (Vec<Name>, Vec<Name>) = names
-                        .iter()
-                        .cloned()
-                        .partition(|_| self.rng.random_bool(0.5));
-                    self.part(&one, &side, true);
-                }
-                14..16 => {
-                    let (one, both) = (any(&mut self.rng), self.rng.random_bool(0.5));
-                    let rest: Vec<Name> =
-                        names.iter().filter(|name| **name != one).cloned().collect();
-                    self.part(&[one], &rest, both);
-                }
-                16..24 => self.cut.clear(),
-                24..26 => {
-                    let (name, sync) = (any(&mut self.rng), self.rng.random_range(1..600));
-                    self.hosts.get_mut(&name).unwrap().sync = sync;
-                }
-                26..29 => {
-                    let (name, duty) = (any(&mut self.rng), self.duties[0].clone());
-                    let to = self.rng.random_bool(0.5).then(|| any(&mut self.rng));
-                    self.order(&name, Order::HandOn { duty, to });
-                }
-                29..31 => {
-                    let name = any(&mut self.rng);
-                    self.quit(&name);
-                    let away = self.rng.random_range(1..2000);
-                    self.hosts.get_mut(&name).unwrap().back = Some(self.now + 2500 + away);
-                }
-                31..33 => self.machine_fault(),
-                _ => {}
-            }
-            if !self.budgets.is_empty() && self.rng.random_bool(0.1) {
-                let hot = any(&mut self.rng);
-                let even = self.rng.random_bool(0.2);
-                let press =
-                    |name: &Name| (name.clone(), if even || *name == hot { 0.3 } else { 0.01 });
-                self.press = names.iter().map(press).collect();
-            }
-            let steps = self.rng.random_range(5..60);
-            for _ in 0..steps {
-                // Who has ended, or was to, comes back as a new process.
-                self.step();
-            }
-        }
-        self.heal();
-    }
-
-    pub fn heal(&mut self) {
-        self.cut.clear();
-        self.machines_up();
-        (self.loss, self.delay) = (0.0, (0, 10));
-        let now = self.now;
-        for host in self.hosts.values_mut() {
-            (host.stopped, host.sync) = (0, 2);
-            // Who was to come back later has done so; the last fault is over.
-            if host.member.is_none() || host.back.is_some() {
-                host.back = Some(now + 10);
-            }
-        }
-        // An election, leases of those that died, and a session for whoever had none.
-        self.run(2 * self.limits.log.election + 2 * self.limits.granted() + 1500);
-        for duty in self.duties.clone() {
-            if self.wrong.is_none() && self.holder(&duty).is_none() {
-                self.found(format!("Held Again: nobody holds {duty}"));
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/storm/src/fleet/faults.rs
@@ -0,0 +1,271 @@
+//! What goes wrong with whole members: drawn by chance, or struck as a script says.
+
+use rand::Rng;
+use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
+use violetwind_consensus::Millis;
+use violetwind_fleet::{Name, Order};
+
+use super::{Host, World};
+use crate::script::Moment;
+
+/// One fault, as scripts name it. Spans are in milliseconds of true time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Fault {
+    /// SIGKILL; a new process on the same directory after so long.
+    Kill {
+        node: Name,
+        back: Millis,
+    },
+    /// SIGSTOP for so long.
+    Stop {
+        node: Name,
+        lasts: Millis,
+    },
+    /// Frames from some to others are lost, or both ways.
+    Cut {
+        from: Vec<Name>,
+        to: Vec<Name>,
+        both: bool,
+    },
+    /// All links are up again.
+    Heal,
+    /// A sync of this disk takes so long from now on.
+    Slow {
+        node: Name,
+        sync: Millis,
+    },
+    /// Operators want a duty handed on.
+    HandOn {
+        by: Name,
+        duty: Name,
+        to: Option<Name>,
+    },
+    /// SIGTERM; a new process after so long.
+    Quit {
+        node: Name,
+        back: Millis,
+    },
+    /// A machine dies, or comes back.
+    Machine {
+        number: usize,
+    },
+    /// Operators put a member out, and let it in again.
+    PutOut {
+        by: Name,
+        node: Name,
+    },
+    LetIn {
+        by: Name,
+        node: Name,
+    },
+    /// Clients press one member, or all of them evenly.
+    Press {
+        hot: Name,
+        even: bool,
+    },
+}
+
+impl Fault {
+    /// The members that it names.
+    pub fn nodes(&self) -> Vec<&Name> {
+        match self {
+            Self::Kill { node, .. }
+            | Self::Stop { node, .. }
+            | Self::Slow { node, .. }
+            | Self::Quit { node, .. } => vec![node],
+            Self::Cut { from, to, .. } => from.iter().chain(to).collect(),
+            Self::HandOn { by, to, .. } => [by].into_iter().chain(to).collect(),
+            Self::PutOut { by, node } | Self::LetIn { by, node } => vec![by, node],
+            Self::Press { hot, .. } => vec![hot],
+            Self::Heal | Self::Machine { .. } => Vec::new(),
+        }
+    }
+}
+
+/// The next fault among these members, if there is one: the same from the same chance.
+pub(crate) fn draw(rng: &mut Pcg32, names: &[Name], duty: &Name, machines: usize) -> Option<Fault> {
+    let any = |rng: &mut Pcg32| names[rng.random_range(0..names.len())].clone();
+    Some(match rng.random_range(0..100) {
+        0..3 => {
+            let (node, back) = (any(rng), rng.random_range(1..3000));
+            Fault::Kill { node, back }
+        }
+        3..7 => {
+            let (node, lasts) = (any(rng), rng.random_range(100..7000));
+            Fault::Stop { node, lasts }
+        }
+        7..11 => {
+            let (a, b, both) = (any(rng), any(rng), rng.random_bool(0.5));
+            let (from, to) = (vec![a], vec![b]);
+            Fault::Cut { from, to, both }
+        }
+        11..14 => {
+            let (from, to): (Vec<Name>, Vec<Name>) =
+                names.iter().cloned().partition(|_| rng.random_bool(0.5));
+            let both = true;
+            Fault::Cut { from, to, both }
+        }
+        14..16 => {
+            let (one, both) = (any(rng), rng.random_bool(0.5));
+            let to = names.iter().filter(|name| **name != one).cloned().collect();
+            let from = vec![one];
+            Fault::Cut { from, to, both }
+        }
+        16..24 => Fault::Heal,
+        24..26 => {
+            let (node, sync) = (any(rng), rng.random_range(1..600));
+            Fault::Slow { node, sync }
+        }
+        26..29 => {
+            let by = any(rng);
+            let to = rng.random_bool(0.5).then(|| any(rng));
+            let duty = duty.clone();
+            Fault::HandOn { by, duty, to }
+        }
+        29..31 => {
+            let node = any(rng);
+            let back = 2500 + rng.random_range(1..2000);
+            Fault::Quit { node, back }
+        }
+        31..33 if machines > 0 => Fault::Machine {
+            number: rng.random_range(0..machines),
+        },
+        _ => return None,
+    })
+}
+
+impl World {
+    /// Cuts a member off from some, in one direction or both.
+    pub fn part(&mut self, from: &[Name], to: &[Name], both: bool) {
+        for a in from {
+            for b in to {
+                self.cut.insert((a.clone(), b.clone()));
+                if both {
+                    self.cut.insert((b.clone(), a.clone()));
+                }
+            }
+        }
+    }
+
+    /// Lets it happen now. What names nobody who is there does nothing.
+    pub fn strike(&mut self, fault: &Fault) {
+        let there = |name: &Name| self.hosts.contains_key(name);
+        if !fault.nodes().into_iter().all(there) {
+            return;
+        }
+        let now = self.now;
+        match fault {
+            Fault::Kill { node, back } => {
+                self.kill(node);
+                self.hosts.get_mut(node).unwrap().back = Some(now + back);
+            }
+            Fault::Stop { node, lasts } => {
+                self.hosts.get_mut(node).unwrap().stopped = now + lasts;
+            }
+            Fault::Cut { from, to, both } => self.part(from, to, *both),
+            Fault::Heal => self.cut.clear(),
+            Fault::Slow { node, sync } => self.hosts.get_mut(node).unwrap().sync = *sync,
+            Fault::HandOn { by, duty, to } => {
+                let (duty, to) = (duty.clone(), to.clone());
+                self.order(by, Order::HandOn { duty, to });
+            }
+            Fault::Quit { node, back } => {
+                self.quit(node);
+                self.hosts.get_mut(node).unwrap().back = Some(now + back);
+            }
+            Fault::PutOut { by, node } => self.vote_on(by, node, true),
+            Fault::LetIn { by, node } => self.vote_on(by, node, false),
+            Fault::Machine { number } => self.machine_fault(*number),
+            Fault::Press { hot, even } => {
+                let press =
+                    |name: &Name| (name.clone(), if *even || name == hot { 0.3 } else { 0.01 });
+                self.press = self.hosts.keys().map(press).collect();
+            }
+        }
+    }
+
+    /// Everybody as they are now, for a time line that begins at `start`.
+    pub fn moment(&self, start: Millis) -> Moment {
+        let leader = self.leader();
+        let cut = |name: &Name| self.cut.iter().any(|(a, b)| a == name || b == name);
+        let holds = |host: &Host| {
+            let member = host.member.as_ref();
+            let at = host.clock.at(self.now);
+            let holds = |duty: &Name| member.is_some_and(|member| member.holds(duty, at).is_some());
+            self.duties.iter().any(holds)
+        };
+        let each = self.hosts.iter().map(|(name, host)| {
+            let state = match () {
+                () if host.member.is_none() => 'x',
+                () if host.stopped > self.now => 's',
+                () if leader.as_ref() == Some(name) => 'L',
+                () if cut(name) => 'c',
+                () if holds(host) => 'h',
+                () => '.',
+            };
+            (name.clone(), state)
+        });
+        let held = self.budgets.first().map(|def| def.name.clone());
+        Moment {
+            at: self.now - start,
+            members: each.collect(),
+            in_use: held.map_or(0, |name| self.in_use(&name)),
+            out: self.work_state().map_or(0, |work| work.orders.out().len()),
+        }
+    }
+
+    /// Whether an order has ended and none is left.
+    pub fn work_ended(&self) -> bool {
+        self.work_state()
+            .is_some_and(|work| work.orders.orders().is_empty() && !work.orders.ended().is_empty())
+    }
+
+    /// A day of trouble, drawn by the seed, and then quiet: everything has to be held again.
+    pub fn trouble(&mut self, millis: Millis) {
+        let until = self.now + millis;
+        let names: Vec<Name> = self.hosts.keys().cloned().collect();
+        self.loss = [0.0, 0.0, 0.05][self.rng.random_range(0..3)];
+        self.delay = [(0, 5), (0, 20), (10, 120)][self.rng.random_range(0..3)];
+        while self.now < until && self.wrong.is_none() {
+            let machines = self.machines();
+            let duty = self.duties[0].clone();
+            if let Some(fault) = draw(&mut self.rng, &names, &duty, machines) {
+                self.strike(&fault);
+            }
+            if !self.budgets.is_empty() && self.rng.random_bool(0.1) {
+                let hot = names[self.rng.random_range(0..names.len())].clone();
+                let even = self.rng.random_bool(0.2);
+                self.strike(&Fault::Press { hot, even });
+            }
+            let steps = self.rng.random_range(5..60);
+            for _ in 0..steps {
+                // Who has ended, or was to, comes back as a new process.
+                self.step();
+            }
+        }
+        self.heal();
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        self.machines_up();
+        (self.loss, self.repeat, self.delay) = (0.0, 0.0, (0, 10));
+        let now = self.now;
+        for host in self.hosts.values_mut() {
+            (host.stopped, host.sync) = (0, 2);
+            // Who was to come back later has done so; the last fault is over.
+            if host.member.is_none() || host.back.is_some() {
+                host.back = Some(now + 10);
+            }
+        }
+        // An election, leases of those that died, and a session for whoever had none.
+        self.run(2 * self.limits.log.election + 2 * self.limits.granted() + 1500);
+        for duty in self.duties.clone() {
+            if self.wrong.is_none() && self.holder(&duty).is_none() {
+                self.found(format!("Held Again: nobody holds {duty}"));
+            }
+        }
+    }
+}
--- a/crates/storm/src/fleet/proxies.rs
+++ b/crates/storm/src/fleet/proxies.rs
@@ -115,7 +115,11 @@
     }
 
     pub(super) fn proxy_killed(&mut self, name: &str) {
+        let forgets = self.planted == Planted::ServesUnlisted;
         if let Some(proxy) = self.shift.as_mut().and_then(|s| s.proxies.get_mut(name)) {
+            if forgets {
+                proxy.kept = Belief::default();
+            }
             proxy.restart();
         }
     }
@@ -153,7 +157,8 @@
             }
         }
         // One that knows no list serves nobody yet.
-        if runs && proxy.belief.at() > 0 && self.rng.random_bool(0.2) {
+        let listed = proxy.belief.at() > 0 || self.planted == Planted::ServesUnlisted;
+        if runs && listed && self.rng.random_bool(0.2) {
             let at = self.rng.random_range(0..shift.machines.len());
             let to = shift.machines.keys().nth(at).expect("in range").clone();
             if !proxy.belief.closed(&to) && !shift.down.contains(&to) {
@@ -203,9 +208,9 @@
     }
 
     /// Machines die and come back.
-    pub(super) fn machine_fault(&mut self) {
+    pub(super) fn machine_fault(&mut self, number: usize) {
         let Some(shift) = &mut self.shift else { return };
-        let at = self.rng.random_range(0..shift.machines.len());
+        let at = number % shift.machines.len();
         let name = shift.machines.keys().nth(at).expect("in range").clone();
         if !shift.down.remove(&name) && shift.down.is_empty() {
             for proxy in shift.proxies.values_mut() {
@@ -215,6 +220,10 @@
         }
     }
 
+    pub(super) fn machines(&self) -> usize {
+        self.shift.as_ref().map_or(0, |shift| shift.machines.len())
+    }
+
     pub(super) fn machines_up(&mut self) {
         if let Some(shift) = &mut self.shift {
             shift.down.clear();
--- a/crates/storm/src/lib.rs
+++ b/crates/storm/src/lib.rs
@@ -5,5 +5,7 @@
 
 pub mod explore;
 pub mod fleet;
+pub mod linear;
 pub mod log;
 pub mod night;
+pub mod script;
