Storm on real processes: the same scripts with servers, clients, staff and callers, checked outside

The first seed that was played found a fault of the product: a member that never votes and is put out was in no view any more once its session was over, so nobody could see whom to let in; it stays in sight now. In simulated worlds members' files name voters and themselves alone, as real ones do, so that a test finds it too.

--- a/crates/fleet/src/member/leader.rs
+++ b/crates/fleet/src/member/leader.rs
@@ -280,6 +280,8 @@
         let sessions = running.state.sessions();
         let mut names: BTreeSet<&Name> = self.config.peers.keys().collect();
         names.extend(sessions.values().map(|session| &session.name));
+        // One that never votes and is put out is in no file and has no session: staff have to see it all the same.
+        names.extend(running.state.barred());
         names.extend(log.0.values().map(|member| &member.name));
         let members = names.into_iter().map(|name| {
             let session = running.state.session_of(name);
--- a/crates/fleet/tests/cases.rs
+++ b/crates/fleet/tests/cases.rs
@@ -1,6 +1,6 @@
 //! The hard cases by name, each alone.
 
-use violetwind_fleet::{Answer, Gate, Limits, Order, Unsound, View};
+use violetwind_fleet::{Answer, Call, Gate, Limits, Order, Unsound, View};
 use violetwind_storm::fleet::{World, name};
 
 fn settled(seed: u64, voters: usize, others: usize) -> World {
@@ -509,3 +509,21 @@
         (1, None, None)
     );
 }
+
+/// One that never votes, put out by operators, was in no view any more once its session was over: nobody could see whom
+/// to let in. Found by a script on real processes.
+#[test]
+fn who_is_put_out_stays_in_sight() {
+    let mut world = World::new(5, 3, 1);
+    world.run(4000);
+    let node = name(3);
+    world.order(&name(0), Order::PutOut { node: node.clone() });
+    world.run(8000);
+    let seen = world.call(&name(0), Call::View);
+    world.run(500);
+    let Some(Answer::View(view)) = world.answers.get(&seen) else {
+        panic!("{:?}", world.answers.get(&seen))
+    };
+    let member = view.members.iter().find(|member| member.node == node);
+    assert_eq!(member.map(|member| member.state.as_str()), Some("out"));
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod scenario;
 pub mod stats;
 pub mod storm;
+pub mod storm_real;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,7 +14,7 @@
 use violetwind_lab::report::{self, Played};
 use violetwind_lab::scenario::Scenario;
 use violetwind_lab::stats::Estimate;
-use violetwind_lab::storm;
+use violetwind_lab::{storm, storm_real};
 use violetwind_storm::fleet::Planted;
 use violetwind_storm::script::{Script, Shape};
 
@@ -128,6 +128,15 @@
         /// Findings go there as scripts, one a file.
         #[arg(long, value_name = "DIR")]
         findings: Option<PathBuf>,
+        /// Play the script, or that of the first seed, on real processes with servers, clients and staff.
+        #[arg(long)]
+        real: bool,
+        /// The proxy's program; by default the one beside this.
+        #[arg(long, value_name = "FILE")]
+        proxy: Option<PathBuf>,
+        /// Write the script, or that of the first seed, as a file.
+        #[arg(long, value_name = "FILE")]
+        write: Option<PathBuf>,
         /// One HTML page of the script, or of the first seed.
         #[arg(long, value_name = "FILE")]
         report: Option<PathBuf>,
@@ -358,6 +367,9 @@
             planted,
             threads: asked,
             findings,
+            real,
+            proxy,
+            write,
             report,
             json,
         } => {
@@ -373,12 +385,34 @@
                 eprintln!("{what}");
                 ExitCode::FAILURE
             };
-            if let Some(path) = &script {
-                let name = path.display();
-                let text = std::fs::read_to_string(path);
-                let text = text.map_err(|error| told(format!("{name}: {error}")))?;
-                let script =
-                    Script::parse(&text).map_err(|what| told(format!("{name}: {what}")))?;
+            let script = match &script {
+                None => None,
+                Some(path) => {
+                    let name = path.display();
+                    let text = std::fs::read_to_string(path);
+                    let text = text.map_err(|error| told(format!("{name}: {error}")))?;
+                    let script = Script::parse(&text);
+                    Some(script.map_err(|what| told(format!("{name}: {what}")))?)
+                }
+            };
+            if let Some(path) = &write {
+                let script = script.clone().unwrap_or_else(|| Script::draw(first, shape));
+                std::fs::write(path, script.to_toml())
+                    .map_err(|error| told(format!("{}: {error}", path.display())))?;
+            }
+            if real {
+                let script = script.unwrap_or_else(|| Script::draw(first, shape));
+                let beside = std::env::current_exe().map(|path| path.with_file_name("violetwind"));
+                let program = proxy.or(beside.ok()).unwrap_or_else(|| "violetwind".into());
+                let played = storm_real::play(&script, &program);
+                println!("{played:#?}");
+                return Ok(if played.wrong.is_empty() {
+                    ExitCode::SUCCESS
+                } else {
+                    ExitCode::FAILURE
+                });
+            }
+            if let Some(script) = script {
                 let wrong = match &report {
                     Some(page) => storm::report(&script, planted, page)
                         .map_err(|error| told(format!("{}: {error}", page.display())))?,
--- a/crates/storm/src/fleet.rs
+++ b/crates/storm/src/fleet.rs
@@ -145,7 +145,7 @@
     pub repeat: f64,
     /// Calls about who is put out, by member: who called when, and when the answer came.
     history: BTreeMap<Name, Vec<linear::Call>>,
-    asked_out: BTreeMap<Number, (Name, Option<(Name, bool)>, Millis)>,
+    asked_out: BTreeMap<Number, operators::Asked>,
     /// Operators look at the fleet now and then.
     pub looks: bool,
     pub delay: (Millis, Millis),
@@ -313,7 +313,13 @@
         let config = Config {
             work: self.shift.is_some(),
             node: name.to_string(),
-            peers: self.peers.clone(),
+            // As in real files: who votes, and oneself.
+            peers: self
+                .peers
+                .iter()
+                .filter(|(peer, votes)| **votes || *peer == name)
+                .map(|(peer, votes)| (peer.clone(), *votes))
+                .collect(),
             duties: self.duties.clone(),
             budgets: self.files.get(name).unwrap_or(&self.budgets).clone(),
             outside: self.outside.clone(),
