What operators close is told before any order names it; first lists are waited for longer

Members tell what is closed at all times, show names it, and it counts as out. Whoever conducts asks once a lease for its duty to be handed on before its own turn: a second ask would have the next holder hand it back.

--- a/crates/fleet/src/member/work.rs
+++ b/crates/fleet/src/member/work.rs
@@ -40,13 +40,24 @@
     /// Machines that the sources have not told for so long.
     missing: BTreeMap<Name, Millis>,
     told_machines_at: Millis,
+    /// When it asked for the duty to be handed on, as its own machine's turn has come: asked twice, whoever has it then
+    /// would hand it back.
+    handed_on: Option<Millis>,
     why: Vec<(Name, String)>,
 }
 
+/// What one member said last, by the number of its ask.
+#[derive(Clone, Debug, Default)]
+struct Said {
+    number: Number,
+    reports: BTreeMap<Name, Report>,
+    shut: BTreeSet<Name>,
+}
+
 /// What a leader has been told by members, and by whoever conducts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Board {
-    reports: BTreeMap<SessionId, (Number, BTreeMap<Name, Report>)>,
+    reports: BTreeMap<SessionId, Said>,
     /// Sessions whose word that they serve is on its way into the log.
     serving: BTreeSet<SessionId>,
     why: BTreeMap<Name, String>,
@@ -67,10 +78,9 @@
     /// What the proxy says of machines here.
     pub(super) fn local(&mut self, local: Local) {
         let Some(hand) = &mut self.hand else { return };
-        let fresh = hand
-            .local
-            .as_ref()
-            .is_none_or(|known| known.reports != local.reports || known.heard != local.heard);
+        let fresh = hand.local.as_ref().is_none_or(|known| {
+            known.reports != local.reports || known.heard != local.heard || known.shut != local.shut
+        });
         if fresh {
             hand.ask_at = hand.ask_at.min(self.now);
         }
@@ -97,6 +107,7 @@
                     session,
                     have: local.heard,
                     reports: local.reports.into_iter().collect(),
+                    shut: local.shut.into_iter().collect(),
                 }),
             };
             asks.extend(ask);
@@ -239,6 +250,13 @@
             });
         }
         conductor.why = why;
+        let again = conductor
+            .handed_on
+            .is_none_or(|at| now >= at + limits.lease);
+        let hand_on = hand_on && again;
+        if hand_on {
+            conductor.handed_on = Some(now);
+        }
         let Some(session) = self.holder.session() else {
             return;
         };
@@ -275,6 +293,7 @@
                 session,
                 have,
                 reports,
+                shut,
             } => {
                 if work.serving.get(from) != Some(session) {
                     // It is told what is out once the log has that it has to confirm.
@@ -288,8 +307,12 @@
                     ));
                 }
                 let known = board.reports.entry(*session).or_default();
-                if number > known.0 {
-                    *known = (number, reports.iter().cloned().collect());
+                if number > known.number {
+                    *known = Said {
+                        number,
+                        reports: reports.iter().cloned().collect(),
+                        shut: shut.iter().cloned().collect(),
+                    };
                 }
                 let list = (*have != work.version).then(|| Belief::list(&work.orders));
                 Some(Told::Work {
@@ -314,7 +337,12 @@
                 let duty = state.duties().get(DUTY).and_then(|duty| duty.holder);
                 let conductor = duty.and_then(|(id, _)| state.sessions().get(&id));
                 let conductor = conductor.map(|known| known.name.clone());
-                Some(Told::WorkView(WorkView::of(work, conductor, &board.why)))
+                let shut = board
+                    .reports
+                    .values()
+                    .flat_map(|said| said.shut.iter().cloned());
+                let view = WorkView::of(work, conductor, &board.why, shut.collect());
+                Some(Told::WorkView(view))
             }
             _ => None,
         }
@@ -376,7 +404,8 @@
             let reports = self.reports.get(session);
             let live = state.sessions().contains_key(session) && reports.is_some();
             let mut of_out = Vec::new();
-            for (machine, report) in reports.into_iter().flat_map(|(_, reports)| reports) {
+            shut.extend(reports.into_iter().flat_map(|said| &said.shut));
+            for (machine, report) in reports.into_iter().flat_map(|said| &said.reports) {
                 if out.contains_key(machine) {
                     of_out.push((machine.clone(), *report));
                 } else {
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -104,6 +104,7 @@
         session: SessionId,
         have: Number,
         reports: Vec<(Name, Report)>,
+        shut: Vec<Name>,
     },
     /// The asker serves nobody any more, and will not.
     Off {
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -84,6 +84,8 @@
     /// by an operator.
     pub machines: BTreeMap<Name, Machine>,
     pub up: BTreeSet<Name>,
+    /// Machines that operators keep out here, whether or not an order names them.
+    pub shut: BTreeSet<Name>,
     /// It serves nobody any more and will not, unless it is started anew.
     pub serves_nobody: bool,
     /// The time of day, in milliseconds since 1970.
@@ -185,6 +187,8 @@
     pub ended: Vec<EndedView>,
     /// What is out, or may be held for out by somebody.
     pub out: Vec<Name>,
+    /// Closed by operators at some proxy: they count as out.
+    pub shut: Vec<Name>,
     /// Who has to confirm each step.
     pub serving: Vec<Name>,
 }
@@ -235,7 +239,12 @@
 }
 
 impl WorkView {
-    pub fn of(work: &Work, conductor: Option<Name>, why: &BTreeMap<Name, String>) -> Self {
+    pub fn of(
+        work: &Work,
+        conductor: Option<Name>,
+        why: &BTreeMap<Name, String>,
+        shut: BTreeSet<Name>,
+    ) -> Self {
         let orders = &work.orders;
         let running = orders.running();
         let view = |(number, (order, places)): (&Number, &(Order, BTreeMap<Name, _>))| {
@@ -297,6 +306,7 @@
             orders: orders.orders().iter().map(view).collect(),
             ended: ended.collect(),
             out: orders.out().into_keys().cloned().collect(),
+            shut: shut.into_iter().collect(),
             serving: work.serving.keys().cloned().collect(),
         }
     }
--- a/crates/proxy/src/fleet/settings.rs
+++ b/crates/proxy/src/fleet/settings.rs
@@ -337,7 +337,8 @@
         machines,
         named,
         file: file.unwrap_or_default(),
-        first: section.span("first", ms(0)..=ms(60_000), ms(2000)),
+        // A killed process's session lasts for a lease: until then the next one has no list.
+        first: section.span("first", ms(0)..=ms(1_800_000), ms(2 * limits.lease)),
         every,
         idle: ms(limits.renew),
         lists: 16,
--- a/crates/proxy/src/fleet/shift.rs
+++ b/crates/proxy/src/fleet/shift.rs
@@ -341,6 +341,15 @@
             let report: Option<Report> = self.belief.report(&name, clients, warm);
             reports.extend(report.map(|report| (name, report)));
         }
+        let shut = looked.machines.iter().filter(|(_, seen)| {
+            let mut stay = seen
+                .servers
+                .iter()
+                .filter(|server| !server.draining)
+                .peekable();
+            stay.peek().is_some() && stay.all(|server| server.banned)
+        });
+        let shut = shut.map(|(name, _)| name.clone()).collect();
         let machines = self.machines(looked);
         let up = |name: &&Name| {
             let seen = looked.machines.get(*name);
@@ -358,6 +367,7 @@
             reports: if self.stuck { BTreeMap::new() } else { reports },
             up: machines.keys().filter(up).cloned().collect(),
             machines,
+            shut,
             serves_nobody: self.service.closed() && looked.connections == 0 && elder == 0,
             wall: wall.as_millis() as u64,
         }
--- a/crates/proxy/src/staff.rs
+++ b/crates/proxy/src/staff.rs
@@ -174,6 +174,9 @@
         let why = view["why"].as_str().unwrap_or("");
         return out + &format!("as this proxy goes by it; the fleet has not answered: {why}\n");
     }
+    if view["shut"].as_array().is_some_and(|shut| !shut.is_empty()) {
+        out += &format!("closed by operators: {}\n", words(&view["shut"]));
+    }
     out += &format!(
         "conducted by {}; {} have to confirm\n",
         cell(&view["conductor"]),
--- a/crates/storm/src/fleet/proxies.rs
+++ b/crates/storm/src/fleet/proxies.rs
@@ -264,6 +264,7 @@
             reports: reports.collect(),
             machines: self.machines.clone(),
             up: up.cloned().collect(),
+            shut: BTreeSet::new(),
             serves_nobody: false,
             wall: now,
         }
