Mended on a last read: two limits in their types, one call of operators in the stand-ins

The longest file of what is out and the machines of one call stood as constants beside the code; the stand-ins wrote an operator's call a third time.

--- a/crates/proxy/src/fleet/settings.rs
+++ b/crates/proxy/src/fleet/settings.rs
@@ -48,6 +48,8 @@
     pub named: BTreeMap<Name, (Option<Name>, Option<Name>)>,
     /// What is out, as last heard.
     pub file: PathBuf,
+    /// A longer file is not read.
+    pub file_bytes: u64,
     /// Without such a file the fleet is waited for so long before the first client.
     pub first: Duration,
     /// Between two looks at what is here, and the same while nothing is ordered.
@@ -337,6 +339,7 @@
         machines,
         named,
         file: file.unwrap_or_default(),
+        file_bytes: 64 << 20,
         // A killed process's session lasts for a lease: until then the next one has no list.
         first: section.span("first", ms(0)..=ms(1_800_000), ms(2 * limits.lease)),
         every,
--- a/crates/proxy/src/fleet/shift.rs
+++ b/crates/proxy/src/fleet/shift.rs
@@ -23,15 +23,13 @@
 
 /// The first words of the file, with a checksum of the rest behind them.
 const MAGIC: &str = "violetwind out 1 ";
-/// The longest file that is read.
-const LONGEST: u64 = 64 << 20;
 
 /// What staff may read of a machine that is out, and what a new process goes by.
-pub fn read(path: &Path) -> Result<Option<Belief>, String> {
+pub fn read(path: &Path, longest: u64) -> Result<Option<Belief>, String> {
     let place = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
     let text = match fs::metadata(path) {
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
-        Ok(file) if file.len() > LONGEST => return Err(place(&"longer than any list")),
+        Ok(file) if file.len() > longest => return Err(place(&"longer than any list")),
         Ok(_) => fs::read_to_string(path).map_err(|error| place(&error))?,
         Err(error) => return Err(place(&error)),
     };
@@ -49,8 +47,8 @@
 }
 
 /// The same of a process that begins, told in the log.
-pub fn kept(path: &Path) -> Option<Belief> {
-    match read(path) {
+pub fn kept(path: &Path, longest: u64) -> Option<Belief> {
+    match read(path, longest) {
         Ok(belief) => {
             let out = belief.iter().flat_map(Belief::ordered);
             let out: Vec<&Name> = out.map(|(name, _)| name).collect();
@@ -172,7 +170,7 @@
 
     /// A successor goes by what its elder wrote last.
     pub async fn again(&mut self) {
-        if let Ok(Some(belief)) = read(&self.work.file)
+        if let Ok(Some(belief)) = read(&self.work.file, self.work.file_bytes)
             && belief.at() > self.belief.at()
         {
             self.go_by(belief).await;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -161,7 +161,7 @@
         .fleet
         .as_ref()
         .and_then(|fleet| fleet.work.as_ref());
-    let out = work.and_then(|work| shift::kept(&work.file));
+    let out = work.and_then(|work| shift::kept(&work.file, work.file_bytes));
     // With its machine this proxy is out, from before its first client.
     let own_out = out
         .as_ref()
--- a/crates/service/src/call.rs
+++ b/crates/service/src/call.rs
@@ -241,15 +241,12 @@
             budget: own(budget),
             token: own(token),
         },
-        ["WORK", ref rest @ ..] => Fleet::Work(work(rest)?),
+        ["WORK", ref rest @ ..] => Fleet::Work(work(rest, limits)?),
         _ => return Err(Fault::NoFleetCall),
     })
 }
 
-/// Machines of one call at most.
-const MACHINES: usize = 1000;
-
-fn work(words: &[&str]) -> Result<Work, Fault> {
+fn work(words: &[&str], limits: &Limits) -> Result<Work, Fault> {
     let own = |word: &str| word.to_string();
     let order = |words: &[&str]| match words {
         [] => Ok(None),
@@ -258,7 +255,9 @@
     };
     Ok(match *words {
         [] => Work::Show,
-        ["PLAN", name, machines, ref bounds @ ..] => Work::Plan(plan(name, machines, bounds)?),
+        ["PLAN", name, machines, ref bounds @ ..] => {
+            Work::Plan(plan(name, machines, bounds, limits)?)
+        }
         ["PAUSE", ref rest @ ..] => Work::Pause(order(rest)?),
         ["RESUME", ref rest @ ..] => Work::Resume(order(rest)?),
         ["CANCEL", ref rest @ ..] => Work::Cancel(order(rest)?),
@@ -269,11 +268,11 @@
     })
 }
 
-fn plan(name: &str, list: &str, bounds: &[&str]) -> Result<Plan, Fault> {
+fn plan(name: &str, list: &str, bounds: &[&str], limits: &Limits) -> Result<Plan, Fault> {
     let hour = 3_600_000;
     let mut plan = Plan {
         name: name.to_string(),
-        machines: machines(list)?,
+        machines: machines(list, limits)?,
         most: 1,
         zone_most: 1,
         floor: 800,
@@ -313,7 +312,7 @@
 }
 
 /// Names with commas between them; of a range both ends have the same words around a number.
-pub fn machines(list: &str) -> Result<BTreeSet<String>, Fault> {
+pub fn machines(list: &str, limits: &Limits) -> Result<BTreeSet<String>, Fault> {
     let mut names = BTreeSet::new();
     for part in list.split(',') {
         match part.split_once("..") {
@@ -331,7 +330,7 @@
                 };
                 let ends = number(first).zip(number(last));
                 let ((stem, width, from), (other, _, to)) = ends.ok_or(Fault::NoMachines)?;
-                if stem != other || from > to || to - from >= MACHINES {
+                if stem != other || from > to || to - from >= limits.machines {
                     return Err(Fault::NoMachines);
                 }
                 // As wide as the first: m-01..m-12 begins with a nought.
@@ -339,7 +338,7 @@
             }
         }
     }
-    match names.len() <= MACHINES {
+    match names.len() <= limits.machines {
         true => Ok(names),
         false => Err(Fault::NoMachines),
     }
--- a/crates/service/src/limits.rs
+++ b/crates/service/src/limits.rs
@@ -6,6 +6,8 @@
     /// The longest call with its end, and the longest id of a server.
     pub call_bytes: usize,
     pub id_bytes: usize,
+    /// Machines that one call may name.
+    pub machines: usize,
     /// Servers that may be out at once, and as many that are remembered as back.
     pub bans: usize,
     /// Servers on machines that orders have out whose times are remembered, and as many that have come back.
@@ -26,6 +28,7 @@
         Self {
             call_bytes: 1024,
             id_bytes: 512,
+            machines: 1000,
             bans: 1024,
             outs: 16_384,
             frame_bytes: 2 << 20,
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -70,7 +70,7 @@
 }
 
 /// The answer to a call of operators, if one comes in time.
-fn call(at: SocketAddr, line: &str) -> Option<String> {
+pub(crate) fn call(at: SocketAddr, line: &str) -> Option<String> {
     let call = || -> std::io::Result<String> {
         let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(300))?;
         stream.set_read_timeout(Some(Duration::from_millis(1200)))?;
--- a/crates/standins/src/shift.rs
+++ b/crates/standins/src/shift.rs
@@ -2,7 +2,7 @@
 //! orders and say what is done, and books that check what was promised by the machine's clock.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::Command;
@@ -13,6 +13,7 @@
 
 use serde_json::{Value, json};
 
+use crate::callers::call;
 use crate::members::{Members, Spec, live, name};
 use crate::worker::{Visit, Worker};
 use crate::{mono_ms, target};
@@ -153,18 +154,6 @@
     thread: thread::JoinHandle<()>,
 }
 
-fn call(at: SocketAddr, line: &str) -> Option<String> {
-    let call = || -> std::io::Result<String> {
-        let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(300))?;
-        stream.set_read_timeout(Some(Duration::from_millis(1500)))?;
-        stream.write_all(format!("{line}\n").as_bytes())?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer)?;
-        Ok(answer.trim_end().to_string())
-    };
-    call().ok()
-}
-
 /// The orders as a proxy shows them, with a leader's word behind it.
 pub fn orders(at: SocketAddr) -> Option<Value> {
     let view = call(at, "FLEET WORK")?;
