A unit of a window counts from the writing of its line, not from its decision

What callers saw: a server that had just started got 5 lines within a second where the fleet's budget of turns at cold servers allows 4, and 3 of 2 in the test that holds dials up. Cause: the module put the unit down when it decided the attempt; the line goes out after the dial, 110 ms later in the trace, and a window after the decision the unit was used again. Ruled out by the trace: shares over the whole (four by decisions), delays on the way (lines were read within 8 ms), clocks.

Why this holds: a unit is in use from the decision until a whole window after the proxy has said that the line was written (Notice::Written, asked for by Order::Send where something counts lines, so an ordinary attempt costs no word). An end without that word counts from the end, but for attempts that surely wrote nothing, which free the unit. A leased unit may be written only until its lease ends. The counting moves from state.rs into quotas.rs.

The same elsewhere: attempts beyond a request's first, by the fleet's budget and by the settings' own, counted from the decision too.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -253,6 +253,9 @@
     Request(Request),
     /// A connection that is already open on `server` at the balancer's start.
     Open(Request, ServerId),
+    /// The line of the latest attempt, at this server, was written just now. Only wanted where
+    /// [`Balancer::awaits_write`](crate::Balancer::awaits_write) says so.
+    Written(RequestId, ServerId),
     /// The connection is up; time-out and deadline stop.
     Begun(RequestId, ServerId),
     Outcome(Ended),
@@ -274,8 +277,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Start an attempt, with its time-out; and where a repeat is harmless only for a time, how long from now
-    /// it may begin at its server: a dial takes a part of that.
+    /// Start an attempt, with its time-out; and where a repeat is harmless only for a time, or a part that it uses is
+    /// leased, how long from now it may begin at its server: a dial takes a part of that.
     Send(RequestId, ServerId, Secs, Option<Secs>),
     /// Final: turned away, harmless to repeat, perhaps with a time to come back after.
     Refuse(RequestId, Option<Secs>),
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod api;
 mod fading;
 pub mod policy;
+mod quotas;
 mod state;
 
 pub use policy::Balancer;
--- a/crates/balancer/src/policy.rs
+++ b/crates/balancer/src/policy.rs
@@ -135,6 +135,7 @@
                 self.state.on_open(request, server);
                 self.start_probing(server, out);
             }
+            Event::Written(id, server) => self.state.on_written(id, server),
             Event::Begun(id, server) => {
                 self.successes.add(now, FORGIVE, 1.0);
                 self.state.begin(id, server);
@@ -159,7 +160,7 @@
             }
             Event::Taking(taking) => self.on_taking(taking, out),
             Event::Allowance(matter, part) => {
-                self.state.allow(matter, part);
+                self.state.quotas.allow(matter, part);
                 self.place_waiting(None, out);
             }
             Event::Settings(set) => {
@@ -273,7 +274,7 @@
     fn probe(&mut self, id: ServerId, part: Range<f64>, out: &mut Vec<Action>) {
         let every = self.probe_interval(self.state.probing).min(PROBE_RARELY);
         if self.state.has_part(Matter::Probes, 0) {
-            self.state.spend(Matter::Probes, None);
+            self.state.quotas.spend(Matter::Probes, self.state.now);
             self.state.server(id, |server| server.in_round = true);
             out.push(Action::Probe(id));
         }
@@ -469,7 +470,7 @@
             // Balancers that never used a server would all take it for a usual one, full or not.
             if !server.asked_since(now - REPORT_AGE) {
                 out.push(Action::Probe(to));
-                self.state.spend(Matter::Probes, None);
+                self.state.quotas.spend(Matter::Probes, now);
                 self.state.ask(to, id);
             }
             return self.wait(id, Some(to), out);
@@ -481,20 +482,32 @@
         // Servers forget a keyed request: up to then a repeat does no harm.
         let class = &self.set.classes[conn.request.class];
         let repeats = conn.may_have_run.filter(|_| class.effect == Effect::Keyed);
-        let begin_within = repeats.map(|(_, at)| at + class.window - now);
+        let repeat_within = repeats.map(|(_, at)| at + class.window - now);
         if attempts > 0 {
-            self.state.go_further(&self.set);
+            self.state.go_further(id, &self.set);
         }
         self.state.join(id, to, Phase::Out(to));
         self.state.take_turn(to, load, turned, gap);
         if cold {
-            self.state.spend(Matter::Cold, Some(to));
+            self.state.quotas.reserve(id, Matter::Cold, Some(to));
         }
         self.start_probing(to, out);
         let time_out = left.min(aim.max(left / 2.0));
+        // A part that is leased may be given to another balancer once the lease is over.
+        let further = (attempts > 0).then_some((Matter::Further, None));
+        let cold = cold.then_some((Matter::Cold, Some(to)));
+        let leases = [further, cold].into_iter().flatten();
+        let leases = leases.filter_map(|(of, at)| self.state.quotas.lease_left(of, at, now));
+        let begin_within = leases.chain(repeat_within).min_by(Secs::total_cmp);
         out.push(Action::Send(id, to, time_out, begin_within));
     }
 
+    /// Whether something counts from the writing of the line of a request's latest attempt: then the host is to tell it
+    /// by [`Event::Written`].
+    pub fn awaits_write(&self, id: RequestId) -> bool {
+        self.state.awaits_write(id)
+    }
+
     /// Whether the budget of attempts has room for one more beyond a request's first.
     fn affordable(&mut self) -> bool {
         let budget = self.set.budget;
@@ -512,9 +525,9 @@
         let lacks = |(matter, own): &(Matter, u64)| !self.state.room(*matter, *own);
         let (matter, _) = parts.into_iter().flatten().find(lacks)?;
         if came {
-            self.state.deny(matter);
+            self.state.quotas.deny(matter);
         }
-        Some(self.state.part_wait(matter))
+        Some(self.state.quotas.wait(matter))
     }
 
     /// What is used of each part of a whole that was told.
@@ -617,7 +630,7 @@
         let key = self.state.order_for(id, &self.set);
         let ranked = self.rank(id, key);
         if self.kept_from_cold(key) {
-            self.state.deny(Matter::Cold);
+            self.state.quotas.deny(Matter::Cold);
         }
         // Ties are broken at random.
         let best = ranked.iter().map(|r| r.0).fold(f64::INFINITY, f64::min);
@@ -679,7 +692,7 @@
 
     /// Whether this balancer's part of a whole keeps it from a cold server.
     fn kept_from_cold(&self, key: u64) -> bool {
-        if !self.state.has_whole(Matter::Cold) {
+        if !self.state.quotas.has(Matter::Cold) {
             return false;
         }
         let cold = |s: &Server| s.up() && s.cold_rest(self.state.now, &self.set) > 0.0;
@@ -790,7 +803,7 @@
         for id in own.into_iter().take(most) {
             let load = self.state.conns[&id].load;
             if self.rng.random::<f64>() * load < part && self.state.has_part(Matter::Moves, 0) {
-                self.state.spend(Matter::Moves, None);
+                self.state.quotas.spend(Matter::Moves, self.state.now);
                 out.push(Action::Move(id));
             }
             part -= load;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -6,6 +6,7 @@
 
 use crate::api::*;
 use crate::fading::Fading;
+use crate::quotas::Quotas;
 
 /// Time constant of the usual load of a class, and of the own rate of requests.
 const MEMORY: Secs = 15.0;
@@ -190,10 +191,8 @@
     /// When requests came, and when attempts beyond a request's first were made, as far as a budget asks.
     came: VecDeque<Secs>,
     further: VecDeque<Secs>,
-    /// Parts of what all balancers share, how often each was too small, and when those that count within a span
-    /// were used; of cold servers, each server's.
-    parts: BTreeMap<Matter, (Allowance, u64)>,
-    rationed: BTreeMap<(Matter, Option<ServerId>), VecDeque<Secs>>,
+    /// Parts of what all balancers share, and what is used of them.
+    pub quotas: Quotas,
     /// When the balancer came to life.
     pub started: Option<Secs>,
     /// When an attempt was last made, and how many were turned away since without one.
@@ -228,8 +227,7 @@
             first_request: None,
             came: VecDeque::new(),
             further: VecDeque::new(),
-            parts: BTreeMap::new(),
-            rationed: BTreeMap::new(),
+            quotas: Quotas::default(),
             started: None,
             sent_at: None,
             turned_away: 0,
@@ -378,6 +376,7 @@
 
     /// A connection is up on its server, which is alive then.
     pub fn begin(&mut self, id: RequestId, on: ServerId) {
+        self.quotas.written(id, self.now);
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.phase = Phase::Open(on);
             self.server(on, |server| server.suspect = false);
@@ -388,6 +387,13 @@
     pub fn end_attempt(&mut self, ended: &Ended) -> Option<bool> {
         let conn = self.conns.get_mut(&ended.id)?;
         let was_out = conn.phase == Phase::Out(ended.server);
+        if was_out {
+            match ended.outcome {
+                Outcome::NotSent | Outcome::LocalFailure => self.quotas.release(ended.id),
+                // No word came of its line, which may have been written, in part at least.
+                _ => self.quotas.written(ended.id, self.now),
+            }
+        }
         if was_out && !ended.outcome.never_ran() {
             conn.may_have_run
                 .get_or_insert((ended.server, conn.sent_at));
@@ -402,6 +408,7 @@
             return None;
         };
         conn.may_have_run.get_or_insert((server, conn.sent_at));
+        self.quotas.written(id, self.now);
         Some(conn.attempts - 1)
     }
 
@@ -432,108 +439,74 @@
     }
 
     /// An attempt is made; it is not its request's first.
-    pub fn go_further(&mut self, set: &Settings) {
+    pub fn go_further(&mut self, id: RequestId, set: &Settings) {
         if set.budget.is_some() {
             self.further.push_back(self.now);
         }
-        self.spend(Matter::Further, None);
+        self.quotas.reserve(id, Matter::Further, None);
+    }
+
+    /// The line of a request's attempt at a server was written by now: what counts lines counts from here on.
+    pub fn on_written(&mut self, id: RequestId, to: ServerId) {
+        let out = |conn: &Conn| conn.phase == Phase::Out(to);
+        if !self.conns.get(&id).is_some_and(out) {
+            return;
+        }
+        self.quotas.written(id, self.now);
+        if let Some(decided) = self.further_attempt(id) {
+            self.further.remove(decided);
+            self.further.push_back(self.now);
+        }
     }
 
-    pub fn allow(&mut self, matter: Matter, allowance: Allowance) {
-        let part = self.parts.entry(matter).or_insert((allowance, 0));
-        part.0 = allowance;
+    /// Where the latest attempt of a request stands among those that a budget counts, if it is one of them.
+    fn further_attempt(&self, id: RequestId) -> Option<usize> {
+        let conn = self.conns.get(&id).filter(|conn| conn.tried.len() > 1)?;
+        self.further.iter().rposition(|at| *at == conn.sent_at)
     }
 
-    /// One is used of a part that counts within a span, if there is such a part.
-    pub fn spend(&mut self, matter: Matter, server: Option<ServerId>) {
-        let Some((part, _)) = self.parts.get(&matter) else {
-            return;
-        };
-        let since = self.now - part.span - SLACK;
-        let own = self.rationed.entry((matter, server)).or_default();
-        own.push_back(self.now);
-        while own.front().is_some_and(|at| *at < since) {
-            own.pop_front();
-        }
-        // A server that gets nothing more is not cold for ever.
-        self.rationed
-            .retain(|(of, _), used| *of != matter || used.back().is_some_and(|at| *at >= since));
-    }
-
-    /// What was used of a part that counts within a span; of cold servers at one, or where most was.
-    fn spent(&self, matter: Matter, server: Option<ServerId>) -> u64 {
-        let span = self.parts.get(&matter).map_or(0.0, |(part, _)| part.span);
-        let since = self.now - span - SLACK;
-        let used = |used: &VecDeque<Secs>| used.len() - used.partition_point(|at| *at < since);
-        let first = server.unwrap_or(ServerId::MIN);
-        let last = server.unwrap_or(ServerId::MAX);
-        let whole = server.is_none().then(|| self.rationed.get(&(matter, None)));
-        let each = self
-            .rationed
-            .range((matter, Some(first))..=(matter, Some(last)))
-            .map(|(_, times)| times);
-        each.chain(whole.flatten()).map(used).max().unwrap_or(0) as u64
+    /// Whether something counts from the writing of the line of a request's latest attempt.
+    pub fn awaits_write(&self, id: RequestId) -> bool {
+        self.quotas.awaits_write(id) || self.further_attempt(id).is_some()
     }
 
     /// What is in use of a part.
     fn busy(&self, matter: Matter) -> u64 {
         match matter {
             Matter::Further | Matter::Moves | Matter::Probes | Matter::Cold => {
-                self.spent(matter, None)
+                self.quotas.used(matter, self.now)
             }
             Matter::Class(class) => self.classes.get(class).map_or(0, |held| *held as u64),
             Matter::Tenant(tenant) => self.tenants.get(tenant).map_or(0, |held| *held as u64),
         }
     }
 
-    /// The units of a part now, and of the whole; none where no part was told.
-    fn part(&self, matter: Matter) -> Option<(u64, u64)> {
-        let (part, _) = self.parts.get(&matter)?;
-        let leased = self.now < part.until;
-        Some((if leased { part.units } else { part.after }, part.whole))
-    }
-
-    pub fn has_whole(&self, matter: Matter) -> bool {
-        self.parts.contains_key(&matter)
-    }
-
     /// Whether the part has room for one more; `own` of what is in use is this one's already.
     pub fn room(&self, matter: Matter, own: u64) -> bool {
-        let part = self.part(matter);
-        part.is_none_or(|(units, _)| self.busy(matter).saturating_sub(own) < units)
+        let units = self.quotas.units(matter, self.now);
+        units.is_none_or(|units| self.busy(matter).saturating_sub(own) < units)
     }
 
     /// Likewise, and where it has none that is counted.
     pub fn has_part(&mut self, matter: Matter, own: u64) -> bool {
         let room = self.room(matter, own);
         if !room {
-            self.deny(matter);
+            self.quotas.deny(matter);
         }
         room
     }
 
-    /// How long after its coming a request may wait for a part that has no room for it.
-    pub fn part_wait(&self, matter: Matter) -> Secs {
-        self.parts.get(&matter).map_or(0.0, |(part, _)| part.wait)
-    }
-
-    /// A larger part would have been used.
-    pub fn deny(&mut self, matter: Matter) {
-        if let Some((_, denied)) = self.parts.get_mut(&matter) {
-            *denied += 1;
-        }
-    }
-
     /// Whether the part has room for one more at a cold server.
     pub fn room_at(&self, server: ServerId) -> bool {
-        let part = self.part(Matter::Cold);
-        part.is_none_or(|(units, _)| self.spent(Matter::Cold, Some(server)) < units)
+        let units = self.quotas.units(Matter::Cold, self.now);
+        units.is_none_or(|units| self.quotas.used_at(Matter::Cold, server, self.now) < units)
     }
 
     /// So many connections all balancers give a cold server for each of this one's: as many as there are, or by its
     /// part of the whole.
     pub fn turns_each(&self, set: &Settings) -> f64 {
-        match self.part(Matter::Cold) {
+        let units = self.quotas.units(Matter::Cold, self.now);
+        match units.zip(self.quotas.whole(Matter::Cold)) {
             Some((units, whole)) => (whole as f64 / units.max(1) as f64).max(1.0),
             None => set.fleet_size as f64,
         }
@@ -541,14 +514,12 @@
 
     pub fn uses(&mut self, now: Secs) -> Vec<Use> {
         self.now = now;
-        let denied = |(matter, (_, denied)): (&Matter, &(Allowance, u64))| (*matter, *denied);
-        let matters: Vec<(Matter, u64)> = self.parts.iter().map(denied).collect();
         let of = |(matter, denied)| Use {
             matter,
             busy: self.busy(matter),
             denied,
         };
-        matters.into_iter().map(of).collect()
+        self.quotas.denials().into_iter().map(of).collect()
     }
 
     /// Own attempts a second: what is refused loads no server.
@@ -799,6 +770,7 @@
 
     pub fn forget(&mut self, id: RequestId) -> Option<Conn> {
         let phase = self.conns.get(&id)?.phase;
+        self.quotas.written(id, self.now);
         self.leave(id);
         let conn = self.conns.remove(&id)?;
         if let Some(tenant) = conn.request.tenant {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -363,6 +363,7 @@
                         endpoint,
                         within: self.limits.standing,
                         write_by: None,
+                        report_write: false,
                     },
                     None => Order::NotYet,
                 };
@@ -399,6 +400,7 @@
                     self.order(id, Order::Move);
                 }
             }
+            Notice::Written(id, server) => self.handle(Event::Written(id, server)),
             Notice::Up(id, server) => {
                 self.up(id, server);
                 self.handle(Event::Begun(id, server));
@@ -831,6 +833,7 @@
                     within,
                     write_by: begin_within
                         .map(|left| self.now + Duration::from_secs_f64(left.clamp(0.0, 3600.0))),
+                    report_write: self.balancer.awaits_write(id),
                 };
                 if let Some(conn) = self.conns.get_mut(&id) {
                     (conn.out, conn.at) = (Some(server), Some(endpoint));
--- a/crates/engine/src/words.rs
+++ b/crates/engine/src/words.rs
@@ -42,6 +42,8 @@
     Stands(Request, ServerId),
     /// A connection that is up there, and was another process's until now.
     Adopted(Request, ServerId, mpsc::Sender<Order>),
+    /// The line of an attempt was written: only said of one whose order wants it.
+    Written(RequestId, ServerId),
     Up(RequestId, ServerId),
     Ended(Ended),
     Gone(RequestId),
@@ -135,6 +137,8 @@
         within: Duration,
         /// The request's line may be written up to this moment, however long the dial takes.
         write_by: Option<Instant>,
+        /// The engine wants a [`Notice::Written`] right behind the writing of the line.
+        report_write: bool,
     },
     /// The server of the attempt that is out drains: it gives up if nothing was sent yet.
     Recall,
--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -99,13 +99,14 @@
                 return Answer::Gone;
             }
         };
-        let (on, endpoint, within, write_by) = match order {
+        let (on, endpoint, within, write_by, report_write) = match order {
             Some(Order::Send {
                 server,
                 endpoint,
                 within,
                 write_by,
-            }) => (server, endpoint, within, write_by),
+                report_write,
+            }) => (server, endpoint, within, write_by, report_write),
             Some(Order::Refuse(wait)) => return Answer::Refused(wait),
             Some(Order::Fail) | None => return Answer::Failed,
             // Nothing is out that could be called off or moved.
@@ -132,10 +133,16 @@
             // The client waits still, by its socket itself: the runtime hears of an end only when it looks next.
             in_time && !recalled.get() && is_open_and_idle(stream)
         };
+        let on_written = async || {
+            if report_write {
+                booking.tell(Notice::Written(request.id, on)).await;
+            }
+        };
         let attempt = send::attempt(
             target,
             admitted.open,
             still_valid,
+            on_written,
             (limits, &shared.repeats),
         );
         let attempt = tokio::select! {
--- a/crates/proxy/src/send.rs
+++ b/crates/proxy/src/send.rs
@@ -91,11 +91,12 @@
 /// Sends the client's line to a server and waits for what comes back. Dropping the future closes
 /// the connection, which gives the attempt up. The dial takes its time, and what held when the attempt was
 /// decided may hold no more: `still_valid` is asked right before the line is written, and without its word nothing
-/// is sent.
+/// is sent. `on_written` is awaited right behind the writing.
 pub async fn attempt(
     target: Target,
     open: &Open<'_>,
     still_valid: impl Fn() -> bool,
+    on_written: impl AsyncFnOnce(),
     (limits, repeats): (&Limits, &Repeats),
 ) -> Attempt {
     let endpoint = target.endpoint;
@@ -125,6 +126,7 @@
         write_end_us = monotonic_us(),
         "line written"
     );
+    on_written().await;
     let mut server = Server {
         stream,
         ring: Ring::new(limits.ring_bytes),
