Tests of budgets count lines by their writing and serve late attempts

Three checks were wrong, each shown by a trace of whole binaries started three at once (27 plays of the single tests and 9 of the binary):

- `client` of two tests waited 250 ms for the server's side and then for the answer, unserved.
On a busy machine the line came later (163 ms where it did come; "attempt decided" 196 ms after the client's line, the attempt ended by time-out 930 ms after that), the client got BUSY by the test's own doing, and its line was then handed to the next client: in 8 of 8 failures of clients_of_a_class... the server's line had the id of the client before (`own false` beside BUSY 538, 584, 744 and so on).
A client is refused now when it hears so, and every line has to be its own: stricter.
Lines are counted by the beginning of their writing, as the operators count a send from its first byte, and every line that the server read has to be among those, so the log can leave none out.
- never_more_than_the_whole... waited until 30 of 60 units are in use and then asked for more than 30: failed with "most at once 30 of 60" in 2 of 18 plays.
It waits for more than 30 now.

--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -142,7 +142,7 @@
     whole(&members);
     // It is divided again.
     let begun = Instant::now();
-    while callers.books.lock().unwrap().in_use() < WHOLE / 2 {
+    while callers.books.lock().unwrap().in_use() <= WHOLE / 2 {
         assert!(
             begun.elapsed() < Duration::from_secs(10),
             "{}",
@@ -176,30 +176,26 @@
     assert!(books.most > WHOLE && books.most_in(WINDOW) > RATE);
 }
 
-/// A client of the class that the budget is of, up with its server's side, or refused with a time to come back.
+/// A client of the class that the budget is of, up with its server's side, or refused with a time to come back. It is
+/// refused only when it has heard so: an attempt that comes late on a busy machine is served too, and none is left over
+/// for the client after it. (Both were seen: lines that the server read 250 ms and more after the client's, nobody served
+/// them, and the next client's `UP` went to the one before.)
 fn client(members: &Members, at: usize, id: &mut u64) -> Option<(Peer, Peer)> {
     let mut client = Peer::connect(members.addr(at));
     *id += 1;
     client.say(&format!("OPEN {id:016x} 7f3a9c21e0b4d655 c=watch,d=2000"));
-    let asked = Instant::now();
-    match members
-        .server
-        .opened_or(|| asked.elapsed() > Duration::from_millis(250))
-    {
-        Some((_, mut conn)) => {
-            conn.say("UP 77aa");
-            assert_eq!(client.hear(), "UP 77aa");
-            Some((client, conn))
-        }
-        None => {
-            let answer = client.hear();
-            let wait = answer
-                .strip_prefix("BUSY ")
-                .and_then(|wait| wait.parse::<u64>().ok());
-            assert!(wait.is_some(), "{answer}");
-            None
-        }
+    if let Some((line, mut conn)) = members.server.opened_or(|| client.has_unread()) {
+        assert!(line.contains(&format!("{id:016x}")), "{line} for {id:016x}");
+        conn.say("UP 77aa");
+        assert_eq!(client.hear(), "UP 77aa");
+        return Some((client, conn));
     }
+    let answer = client.hear();
+    let wait = answer
+        .strip_prefix("BUSY ")
+        .and_then(|wait| wait.parse::<u64>().ok());
+    assert!(wait.is_some(), "{answer}");
+    None
 }
 
 /// The module counts: clients of a class over three proxies, pressed at one and then at another, and cut off.
@@ -344,18 +340,31 @@
     written.collect()
 }
 
-/// The most lines whose writing surely began and ended within one window.
-fn most_written(written: &[Written]) -> usize {
+/// The most of these moments, in microseconds, within one window.
+fn most_in_window(times_us: &[u64]) -> usize {
     let window = WINDOW.as_micros() as u64;
     let within = |from: u64| {
-        let surely = |of: &&Written| of.start_us >= from && of.end_us <= from + window;
-        written.iter().filter(surely).count()
+        let inside = |at: &&u64| (from..from + window).contains(*at);
+        times_us.iter().filter(inside).count()
     };
-    written
-        .iter()
-        .map(|of| within(of.start_us))
-        .max()
-        .unwrap_or(0)
+    times_us.iter().map(|from| within(*from)).max().unwrap_or(0)
+}
+
+/// The most lines whose writing began within one window, as the operators count: a send from its first byte.
+fn most_written(written: &[Written]) -> usize {
+    let starts: Vec<u64> = written.iter().map(|of| of.start_us).collect();
+    most_in_window(&starts)
+}
+
+/// Every line that the server read is among those that the proxies say they wrote, and was read after that.
+fn assert_all_logged(members: &Members, written: &[Written]) {
+    for arrival in members.server.arrivals() {
+        let of_it = written.iter().find(|of| arrival.line.contains(&of.id));
+        assert!(
+            of_it.is_some_and(|of| of.start_us <= arrival.read_us),
+            "{arrival:?} is not in the log"
+        );
+    }
 }
 
 /// Each attempt with the times of its decision, of its writing, and of its reading by the server.
@@ -381,7 +390,9 @@
     written.iter().map(line).collect()
 }
 
-/// A cold server and its probes, counted at the server, while clients press all three proxies at once.
+/// A cold server and its probes while clients press all three proxies at once. Lines are counted by the beginning of their
+/// writing, as the operators count them: this thread's own times were late by up to 100 ms beside other tests, and 5 of 4
+/// were counted where the proxies had written four, and the server had read four, in any window.
 #[test]
 fn a_cold_server_gets_no_more_than_the_whole_from_three_proxies() {
     const TURNS: usize = 4;
@@ -404,48 +415,42 @@
         });
     }
     let press = Press::start(&members, 9, &[0, 1, 2], 500);
-    let (begun, mut turns, mut conns) = (Instant::now(), Vec::new(), Vec::new());
+    let (begun, mut conns) = (Instant::now(), Vec::new());
     while begun.elapsed() < Duration::from_millis(3500) {
         let until = Instant::now() + Duration::from_millis(20);
         if let Some((_, mut conn)) = members.server.opened_or(|| Instant::now() > until) {
-            turns.push(Instant::now());
             conn.say("UP 77aa");
             conns.push(conn);
         }
     }
     press.end();
     drop(conns);
-    let within = |times: &[Instant]| {
-        let of = |from: Instant| {
-            times
-                .iter()
-                .filter(|at| (from..from + WINDOW).contains(*at))
-                .count()
-        };
-        times.iter().map(|from| of(*from)).max().unwrap_or(0)
-    };
+    let turns = written(&members);
     let probes = members.server.probed();
+    let first = *probes.first().expect("it was probed");
+    let since_first = |at: &Instant| at.duration_since(first).as_micros() as u64;
+    let probes: Vec<u64> = probes.iter().map(since_first).collect();
     println!(
         "{} turns, {} of {TURNS} in a window; {} probes, {} of {PROBES} in a window",
         turns.len(),
-        within(&turns),
+        most_written(&turns),
         probes.len(),
-        within(&probes)
+        most_in_window(&probes)
     );
+    assert_all_logged(&members, &turns);
     assert!(
-        within(&turns) <= TURNS && within(&probes) <= PROBES,
+        most_written(&turns) <= TURNS && most_in_window(&probes) <= PROBES,
         "{}\n{}",
         attempts(&members),
         members.log()
     );
     assert!(
-        turns.len() >= 4 && within(&probes) >= 3,
+        turns.len() >= 4 && most_in_window(&probes) >= 3,
         "{}",
         members.log()
     );
     // The count finds one too many.
-    let now = Instant::now();
-    assert!(within(&[now; TURNS + 1]) > TURNS);
+    assert!(most_in_window(&[0; TURNS + 1]) > TURNS);
 }
 
 /// What happens: for 0.7 s a proxy has no buffers for new connections, so attempts that were decided wait with their dials.
@@ -509,13 +514,7 @@
         "no dial was held up\n{}",
         attempts(&members)
     );
-    for arrival in members.server.arrivals() {
-        let of_it = written.iter().find(|of| arrival.line.contains(&of.id));
-        assert!(
-            of_it.is_some_and(|of| of.start_us <= arrival.read_us),
-            "{arrival:?} is not in the log"
-        );
-    }
+    assert_all_logged(&members, &written);
     let mut cold = written;
     cold.retain(|of| of.end_us < cold_from_us + 4_000_000);
     let most = most_written(&cold);
--- a/crates/standins/src/peer.rs
+++ b/crates/standins/src/peer.rs
@@ -89,6 +89,15 @@
         matches!(got, Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut))
     }
 
+    /// Whether something has come, or the connection has ended.
+    pub fn has_unread(&self) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).unwrap();
+        !matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Waits until something has come, and leaves it unread.
     pub fn wait_unread(&self) {
         assert!(self.reader.get_ref().peek(&mut [0]).unwrap() > 0);
