Failing test: a client is refused while the exchange that would serve it is on its way

What callers see: BUSY after 300 ms, with 1.7 s of their time left and room in the fleet, whenever the leader's answer takes longer than that: over a slow link, or on a busy machine.

--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -8,7 +8,7 @@
 
 use serde_json::Value;
 use violetwind_standins::callers::{Callers, Wants};
-use violetwind_standins::members::{Members, Spec, live};
+use violetwind_standins::members::{Members, Spec, live, name};
 use violetwind_standins::relay::Way;
 use violetwind_standins::{Peer, mono_us};
 
@@ -661,6 +661,29 @@
     );
 }
 
+/// What happens: the fleet has room for a client, the leader's answer takes 0.45 s, and the client, which has 2 s, is refused.
+/// Why: it waited 300 ms and no longer, counted from its coming, whatever had become of the exchange.
+#[test]
+fn a_client_waits_for_an_exchange_that_takes_long() {
+    let mut spec = spec(3, 0);
+    spec.lines = "[[fleet.budget]]\nname = \"class:watch\"\nof = \"class\"\nkind = \"held\"\nwhole = 12\nfloor = 1\n".into();
+    let members = Members::start(spec);
+    whole(&members);
+    let leader = members.until("a leader", |members| {
+        let view = members.view(0).filter(|view| view["majority"] == true)?;
+        (0..3).find(|at| view["leader"] == name(*at).as_str())
+    });
+    let follower = (leader + 1) % 3;
+    let later = Way::Delay(Duration::from_millis(150));
+    members.part(&[follower], &[leader], later);
+    let (mut id, mut up) = (0x51c3_a9be_00d2_0000, Vec::new());
+    // Its floor, and one more.
+    for number in 0..2 {
+        let served = client(&members, follower, &mut id);
+        up.push(served.unwrap_or_else(|| panic!("client {number} was refused\n{}", members.log())));
+    }
+}
+
 /// Nobody presses, and the fleet has room: a client beyond its proxy's part waits for one exchange and is served, not
 /// refused, until the whole is out.
 #[test]
