A leader begins to let a member in or put it out once a majority has confirmed it

What operators saw: "done" for an order to let a member in, which stayed out, from a leader that had been stopped and that others had followed. Cause: the order's first step looked at the leader's own books at once, and they had it as done. Ruled out: a lost commit (nothing was proposed), the checker (later views agree).

Why this holds: the first step waits for the same confirmation as views and renewals, so the books are no older than the order. Steps after it wait for commands that this leader has proposed.

--- a/crates/fleet/src/member/leader.rs
+++ b/crates/fleet/src/member/leader.rs
@@ -158,22 +158,9 @@
                 duty: duty.clone(),
                 to: to.clone(),
             }),
-            Ask::Order(Order::LetIn { node } | Order::PutOut { node }) => {
-                let into = matches!(ask, Ask::Order(Order::LetIn { .. }));
-                let job = Job {
-                    into,
-                    from: from.clone(),
-                    number,
-                };
-                if let Some(job) = running.jobs.insert(node.clone(), job) {
-                    self.reply(
-                        job.from,
-                        job.number,
-                        Told::Refused("another order came".into()),
-                    );
-                }
-                return self.lead();
-            }
+            // Begun once a majority has confirmed that this member still leads: its books may have the order as done
+            // already though a later leader has undone it.
+            Ask::Order(Order::LetIn { .. } | Order::PutOut { .. }) => None,
         };
         let Some(running) = self.running_mut() else {
             return;
@@ -222,6 +209,12 @@
             );
         }
         let told = match ask {
+            Ask::Order(Order::LetIn { node }) => {
+                return self.begin_job(node, true, (from, number));
+            }
+            Ask::Order(Order::PutOut { node }) => {
+                return self.begin_job(node, false, (from, number));
+            }
             Ask::Renew {
                 session,
                 needs,
@@ -267,6 +260,19 @@
         self.reply(from, number, told);
     }
 
+    /// Lets a member in or puts it out, step by step; the operator who asked has the answer when it is done.
+    fn begin_job(&mut self, node: Name, into: bool, (from, number): (Name, Number)) {
+        let Some(running) = self.running_mut() else {
+            return;
+        };
+        let job = Job { into, from, number };
+        if let Some(earlier) = running.jobs.insert(node, job) {
+            let told = Told::Refused("another order came".into());
+            self.reply(earlier.from, earlier.number, told);
+        }
+        self.lead();
+    }
+
     pub(super) fn view(&mut self) -> View {
         if self.running().is_none() {
             return self.view_alone("no log here".into());
