Failing test: a leader that others have followed says "done" to work that was cancelled

What staff see: "done" for an order for work that there is none of, and the orders as they were, when the leader's process was stopped while others lead.

--- a/crates/fleet/tests/work.rs
+++ b/crates/fleet/tests/work.rs
@@ -367,3 +367,45 @@
     };
     assert!(!view.settled && !view.out.is_empty(), "{view:?}");
 }
+
+/// What happens: a leader is stopped while others lead and cancel an order for work; when it goes on it is asked for the same order,
+/// answers "done", and there is no such order; and its view shows staff the order that is gone.
+/// Why: an order that changes nothing, and the view, were answered from the leader's own books, without the confirmation of a
+/// majority that views of the fleet wait for.
+#[test]
+fn a_leader_that_others_have_followed_says_nothing_of_work_by_its_own_books() {
+    for seed in 0..5 {
+        let mut world = World::planted(seed, 3, 1, Planted::Nothing).with_machines(6, BOUNDS);
+        world.run(4000);
+        let plan = Staff::Plan(Order {
+            // Far away: it is planned, and not begun.
+            not_before: u64::MAX / 2,
+            ..order(&["m-0", "m-1"])
+        });
+        let old = world.leader().expect("a leader");
+        let at = (0..3).map(name).find(|name| *name != old).unwrap();
+        world.call(&at, Call::Staff(plan.clone()));
+        world.run(1000);
+        let orders = |world: &World| world.work_state().unwrap().orders.orders().len();
+        assert_eq!(orders(&world), 1, "seed {seed}");
+        world.hosts.get_mut(&old).unwrap().stopped = world.now + 6000;
+        world.run(3000);
+        world.call(&at, Call::Staff(Staff::Cancel(None)));
+        world.run(500);
+        let again = world.call(&old, Call::Staff(plan));
+        let seen = world.call(&old, Call::WorkView);
+        world.hosts.get_mut(&old).unwrap().stopped = 0;
+        world.run(1000);
+        assert!(
+            world.answers.get(&again) != Some(&Answer::Done) || orders(&world) == 1,
+            "seed {seed}: done, and there is no order"
+        );
+        if let Some(Answer::WorkView(view)) = world.answers.get(&seen) {
+            let shown = view.orders.len();
+            assert!(
+                shown == orders(&world) || !view.settled,
+                "seed {seed}: {view:?}"
+            );
+        }
+    }
+}
