Staff's orders and views of work wait until a majority has confirmed the leader

What staff saw: "done" for an order that others had cancelled, and orders that are gone, from a leader that had been stopped meanwhile. Cause: an order that changes nothing, and the view, were answered from the leader's own books, in the moment in which they came.

Why this holds: both wait for the confirmation that views of the fleet wait for; an order is worked out and proposed behind it. A read and a proposal are a function each now, where they stood in the middle of `asked`.

--- a/crates/fleet/src/member/leader.rs
+++ b/crates/fleet/src/member/leader.rs
@@ -26,24 +26,19 @@
             return self.reply(from, number, told);
         }
         let of_work = match &ask {
-            Ask::Off { .. } | Ask::Propose { .. } | Ask::Staff(_) => {
-                match self.work_command(&from, &ask) {
-                    Ok(command) => Some(command),
-                    Err(told) => return self.reply(from, number, *told),
-                }
-            }
+            Ask::Off { .. } | Ask::Propose { .. } => match self.work_command(&from, &ask) {
+                Ok(command) => Some(command),
+                Err(told) => return self.reply(from, number, *told),
+            },
             _ => None,
         };
         let Some(running) = self.running_mut() else {
             return;
         };
         let command = match &ask {
-            Ask::Off { .. }
-            | Ask::Propose { .. }
-            | Ask::Staff(_)
-            | Ask::Work { .. }
-            | Ask::Conduct { .. }
-            | Ask::WorkView => of_work,
+            Ask::Off { .. } | Ask::Propose { .. } | Ask::Work { .. } | Ask::Conduct { .. } => {
+                of_work
+            }
             Ask::Renew { session, .. } => {
                 let known = running.state.sessions().get(session);
                 let own = known.is_some_and(|known| known.name == from);
@@ -158,40 +153,42 @@
                 duty: duty.clone(),
                 to: to.clone(),
             }),
-            // Begun once a majority has confirmed that this member still leads: its books may have the order as done
-            // already though a later leader has undone it.
+            // Looked at once a majority has confirmed that this member still leads: its books may have an order as done
+            // already though a later leader has undone it, and a machine as empty that is in use again.
             Ask::Order(Order::LetIn { .. } | Order::PutOut { .. }) => None,
+            Ask::Staff(_) | Ask::WorkView => None,
         };
+        match command {
+            None => self.read(from, number, ask),
+            Some(command) => self.propose(command, from, number, ask),
+        }
+    }
+
+    /// Answers once a majority has confirmed that this member leads, by [`Self::confirmed`].
+    fn read(&mut self, from: Name, number: Number, ask: Ask) {
         let Some(running) = self.running_mut() else {
             return;
         };
-        let refused = match command {
-            None => {
-                running.next_read += 1;
-                let token = running.next_read;
-                running.reads.insert(token, (from.clone(), number, ask));
-                let refused = running.node.read(token).err();
-                if refused.is_some() {
-                    running.reads.remove(&token);
-                }
-                refused
-            }
-            Some(command) => match running.node.propose(command.encode()) {
-                Ok((term, index)) => {
-                    running
-                        .proposals
-                        .insert(index, (term, from.clone(), number, ask));
-                    None
-                }
-                Err(refused) => Some(refused),
-            },
+        running.next_read += 1;
+        let token = running.next_read;
+        running.reads.insert(token, (from.clone(), number, ask));
+        if let Err(refused) = running.node.read(token) {
+            running.reads.remove(&token);
+            self.reply(from, number, not_now(&refused));
+        }
+    }
+
+    /// Answers once the command is in the log.
+    fn propose(&mut self, command: Command, from: Name, number: Number, ask: Ask) {
+        let Some(running) = self.running_mut() else {
+            return;
         };
-        if let Some(refused) = refused {
-            let told = match refused {
-                Refused::NotLeader(_) => Told::NotLeader(None),
-                _ => Told::Later(format!("{refused:?}")),
-            };
-            self.reply(from, number, told);
+        match running.node.propose(command.encode()) {
+            Ok((term, index)) => {
+                let waiting = (term, from, number, ask);
+                running.proposals.insert(index, waiting);
+            }
+            Err(refused) => self.reply(from, number, not_now(&refused)),
         }
     }
 
@@ -215,6 +212,14 @@
             Ask::Order(Order::PutOut { node }) => {
                 return self.begin_job(node, false, (from, number));
             }
+            Ask::Staff(_) => match self.work_command(&from, &ask) {
+                Ok(command) => return self.propose(command, from, number, ask),
+                Err(told) => *told,
+            },
+            Ask::WorkView => match self.work_view() {
+                Some(view) => Told::WorkView(view),
+                None => Told::NotLeader(None),
+            },
             Ask::Renew {
                 session,
                 needs,
@@ -473,6 +478,14 @@
     }
 }
 
+/// Why the log takes nothing from this member now.
+fn not_now(refused: &Refused) -> Told {
+    match refused {
+        Refused::NotLeader(_) => Told::NotLeader(None),
+        _ => Told::Later(format!("{refused:?}")),
+    }
+}
+
 /// Budgets that a command may have changed.
 pub(super) fn touched(command: &Command) -> BTreeSet<Name> {
     match command {
--- a/crates/fleet/src/member/work.rs
+++ b/crates/fleet/src/member/work.rs
@@ -333,17 +333,6 @@
                 board.why = why.iter().cloned().collect();
                 Some(Told::Conduct(board.known(state, *session, *have)))
             }
-            Ask::WorkView => {
-                let duty = state.duties().get(DUTY).and_then(|duty| duty.holder);
-                let conductor = duty.and_then(|(id, _)| state.sessions().get(&id));
-                let conductor = conductor.map(|known| known.name.clone());
-                let shut = board
-                    .reports
-                    .values()
-                    .flat_map(|said| said.shut.iter().cloned());
-                let view = WorkView::of(work, conductor, &board.why, shut.collect());
-                Some(Told::WorkView(view))
-            }
             _ => None,
         }
     }
@@ -386,6 +375,19 @@
         }
     }
 
+    /// The orders as staff see them, by this leader's books.
+    pub(super) fn work_view(&self) -> Option<WorkView> {
+        let running = self.running()?;
+        let state = &running.state;
+        let duty = state.duties().get(DUTY).and_then(|duty| duty.holder);
+        let conductor = duty.and_then(|(id, _)| state.sessions().get(&id));
+        let conductor = conductor.map(|known| known.name.clone());
+        let reports = running.board.reports.values();
+        let shut = reports.flat_map(|said| said.shut.iter().cloned());
+        let why = &running.board.why;
+        Some(WorkView::of(state.work(), conductor, why, shut.collect()))
+    }
+
     /// What is out as this member goes by, without a leader.
     pub(super) fn work_alone(&self, why: String) -> WorkView {
         let list = self.hand.as_ref().map(|hand| &hand.list.1);
