--- a/crates/proxy/tests/budgets.rs
+++ b/crates/proxy/tests/budgets.rs
@@ -10,7 +10,7 @@
 use violetwind_standins::callers::{Callers, Wants};
 use violetwind_standins::members::{Members, Spec, live, name};
 use violetwind_standins::relay::Way;
-use violetwind_standins::{Peer, mono_us};
+use violetwind_standins::{PATIENCE, Peer, mono_us};
 
 const WHOLE: usize = 60;
 const RATE: usize = 80;
@@ -544,6 +544,33 @@
     budget["whole"].as_u64()
 }
 
+/// The budgets as a leader knows them, and what callers saw: for a play that fails.
+fn shown(members: &Members, callers: &Callers) -> String {
+    let view = members.view(0);
+    let budgets = view.map(|view| format!("majority {}: {}", view["majority"], view["budgets"]));
+    let books = callers.books.lock().unwrap();
+    let units: Vec<usize> = books.units.values().map(|units| units.len()).collect();
+    format!(
+        "{budgets:?}, units by member {units:?}, {} unanswered, {} not given back",
+        books.unanswered, books.not_given
+    )
+}
+
+/// Waits until a whole is in force and no more is given out of it.
+fn until_in_force(members: &Members, callers: &Callers, what: &str, whole: usize) {
+    let begun = Instant::now();
+    let done = || Some(in_force(members)? == whole as u64 && given_out(members)? <= whole as u64);
+    while done() != Some(true) {
+        assert!(
+            begun.elapsed() < PATIENCE,
+            "{what}: never, {}\n{}",
+            shown(members, callers),
+            members.log()
+        );
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// What the log has given out of it: beyond the whole in force that is what members have not lowered yet.
 fn given_out(members: &Members) -> Option<u64> {
     let view = members.view(0).filter(|view| view["majority"] == true)?;
@@ -577,10 +604,12 @@
     until(&members, "it is in use", &|| use_of(&callers) > WHOLE / 2);
     // One file lowers it for all.
     restart(&mut members, &callers, 4, &held(WHOLE / 10, 2));
-    members.until("the smaller one is in force", |members| {
-        (in_force(members)? == WHOLE as u64 / 10 && given_out(members)? <= WHOLE as u64 / 10)
-            .then_some(())
-    });
+    until_in_force(
+        &members,
+        &callers,
+        "the smaller one is in force",
+        WHOLE / 10,
+    );
     until(&members, "what was in use has ended", &|| {
         use_of(&callers) <= WHOLE / 10
     });
@@ -596,9 +625,7 @@
         (in_force(members)? == WHOLE as u64).then_some(())
     });
     restart(&mut members, &callers, 2, &held(20, 3));
-    members.until("the smaller of two is in force", |members| {
-        (in_force(members)? == 20 && given_out(members)? <= 20).then_some(())
-    });
+    until_in_force(&members, &callers, "the smaller of two is in force", 20);
     until(&members, "what was in use has ended", &|| {
         use_of(&callers) <= 20
     });
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -19,6 +19,10 @@
     /// When a unit of a rate was asked for, and when the answer had come: it was used in between.
     pub used: Vec<(Instant, Instant)>,
     pub refused: u64,
+    /// Calls for a unit that had no answer in time: it may have been taken all the same.
+    pub unanswered: u64,
+    /// Calls to give a unit back that were answered with something else than that it was.
+    pub not_given: u64,
 }
 
 impl Books {
@@ -102,7 +106,11 @@
     fn take(&self, budget: &str, token: u64) -> bool {
         // Longer than any test: nothing comes back by itself.
         let line = format!("FLEET TAKE {budget} {token} 600000");
-        call(self.addr, &line).as_deref() == Some("200 taken")
+        let answer = call(self.addr, &line);
+        if answer.is_none() {
+            self.books.lock().unwrap().unanswered += 1;
+        }
+        answer.as_deref() == Some("200 taken")
     }
 
     /// One unit taken, held and given back; where that goes on behind, what to wait for in the end.
@@ -130,7 +138,16 @@
         drop(books);
         // Whoever was killed needs no unit back; one that is stopped gets it when it goes on.
         let line = format!("FLEET GIVE {} {token}", self.wants.held);
-        while there && !self.ends() && call(self.addr, &line).is_none() {
+        while there && !self.ends() {
+            let answer = call(self.addr, &line);
+            if let Some(answer) = &answer
+                && !answer.starts_with("200 ")
+            {
+                self.books.lock().unwrap().not_given += 1;
+            }
+            if answer.is_some() {
+                break;
+            }
             thread::sleep(Duration::from_millis(20));
         }
     }
