--- a/review/1/drive.py
+++ b/review/1/drive.py
@@ -1,136 +1,152 @@
-"""Three proxies as one fleet, `violetwind hold` at each of them, and a holder that is stopped for some seconds."""
+"""An upgrade, and a new configuration with SIGHUP while the new process waits for its list."""
 
+import copy
 import json
 import os
 import signal
+import socket
 import sys
+import threading
 import time
 
 CASE_DIR = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(CASE_DIR))
 from standins import *
 
-LEASE, ELECTION, ROUNDS, STOPPED_S = "800ms", "200ms", 3, 5.0
-# Two clock readings of one machine that are closer than this are not told apart.
-TOLERANCE_S = 0.05
-NODES = ["node-a", "node-b", "node-c"]
-
+REQUESTS = 10
 case = Case(CASE_DIR)
 record = case.record
-server = Server(record, "s-1")
-discovery = Discovery(record, [target("s-1", server.port)])
-peers = {node: free_port() for node in NODES}
-clients = {node: free_port() for node in NODES}
-operators = {node: free_port() for node in NODES}
-proxies = {}
-for at, node in enumerate(NODES):
-    folder = os.path.join(case.dir, node)
-    os.mkdir(folder)
-    text = '[fleet]\nname = "turnos"\nlisten = "127.0.0.1:%d"\ndir = "%s/fleet"\nlease = "%s"\nelection = "%s"\n' % (
-        peers[node], folder, LEASE, ELECTION)
-    for peer in NODES:
-        text += '[[fleet.peer]]\nnode = "%s"\naddress = "127.0.0.1:%d"\nvotes = true\n' % (peer, peers[peer])
-    text += '[[fleet.duty]]\nname = "nightly-export"\n'
-    operators_file = os.path.join(folder, "operator.toml")
-    with open(operators_file, "w") as file:
-        file.write(text)
-    the_settings = settings(**{"fleet-size": 3, "me": at})
-    config = proxy_config(node, clients[node], discovery.port, operators[node], the_settings)
-    proxies[node] = case.start_proxy(node, config, {"VIOLETWIND_CONFIG": operators_file, "TMPDIR": folder})
-
-
-def holder():
-    """The member that the fleet lists as the holder, asked at any proxy that answers."""
-    for node in NODES:
-        answer = call(operators[node], "FLEET", 0.5)
-        if answer.startswith("200 "):
-            duties = json.loads(answer[4:])["duties"]
-            if duties and duties[0]["holder"]:
-                return duties[0]["holder"]
-    return None
-
-
-if not wait_until(lambda: all(answers_ping(clients[node]) for node in NODES) and holder(), 30):
-    case.end(2, "the fleet has not formed")
-record("the fleet has a holder: %s" % holder())
-
-# The command writes a beat every 10 ms for as long as it runs: its fencing number, its node, the time. It ends with
-# the `violetwind hold` that started it, so that the case leaves nothing behind.
-beats_path = os.path.join(case.dir, "beats")
-command = (
-    "import os, time\n"
-    "out = os.open(%r, os.O_WRONLY | os.O_CREAT | os.O_APPEND)\n"
-    "hold = os.getppid()\n"
-    "while os.getppid() == hold:\n"
-    "    line = '%%s %%s %%.6f\\n' %% (os.environ['VIOLETWIND_FENCE'], os.environ['AT_NODE'], time.monotonic())\n"
-    "    os.write(out, line.encode())\n"
-    "    time.sleep(0.01)\n" % beats_path)
-
-
-def hold(node):
-    """Starts `violetwind hold` at a proxy, as cron does on every machine."""
-    arguments = ["target/release/violetwind", "hold", "nightly-export", "--wait", "--at",
-                 "127.0.0.1:%d" % operators[node], "--", sys.executable, "-c", command]
-    return case.start("hold-" + node, arguments, {"AT_NODE": node})
-
-
-def beats():
-    """The first and the last beat of each holding, by its fencing number."""
-    seen = {}
-    try:
-        with open(beats_path) as file:
-            for line in file:
-                parts = line.split()
-                if len(parts) == 3 and line.endswith("\n"):
-                    fence, node, at = int(parts[0]), parts[1], float(parts[2]) - STARTED
-                    first, _, _ = seen.get(fence, (at, at, node))
-                    seen[fence] = (first, at, node)
-    except FileNotFoundError:
-        pass
-    return seen
-
-
-def running():
-    """The holdings that have beaten within the last 0.2 s."""
-    return [(fence, node) for fence, (_, last, node) in beats().items() if last > now() - 0.2]
-
-
-holds = {node: hold(node) for node in NODES}
-for round_number in range(1, ROUNDS + 1):
-    if not wait_until(lambda: len(running()) == 1, 20):
-        case.end(2, "no command runs under the duty")
+breaks = threading.Event()
+
+
+class BreakingServer(Server):
+    """A server that answers `UP` at once. While `breaks` is set, it runs a slot-hold request and then resets it."""
+
+    def serve(self, stream):
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            for line in stream.makefile("rb"):
+                text = line.decode("ascii", "replace").rstrip("\r\n")
+                if text == "STATS":
+                    stream.sendall(b"PONG fail_rate=0,busy=0.1,x0=0.1\r\n")
+                elif text.startswith("OPEN "):
+                    request = text.split(" ")[1]
+                    self.opened.append((now(), request))
+                    record("server %s runs request %s (%s)" % (self.uid, request, text.split(" ")[3]))
+                    if breaks.is_set() and "c=slot-hold" in text:
+                        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+                        record("server %s resets request %s" % (self.uid, request))
+                        break
+                    stream.sendall(b"UP 77aa%s\r\n" % request.encode())
+                else:
+                    stream.sendall(line)
+        except OSError:
+            pass
+        stream.close()
+
+
+class SlowDiscovery(Discovery):
+    """Answers calls for the whole list late while `slow_s` is above 0."""
+
+    slow_s = 0.0
+
+    def answer(self, stream, path):
+        if "after=" not in path:
+            time.sleep(self.slow_s)
+        super().answer(stream, path)
+
+
+servers = [BreakingServer(record, "s-%d" % n) for n in (1, 2, 3, 4)]
+discovery = SlowDiscovery(record, [target(server.uid, server.port) for server in servers])
+listen, old_management, new_management = free_port(), free_port(), free_port()
+before = proxy_config("n1", listen, discovery.port, old_management)
+after = copy.deepcopy(before)
+after["settings"]["request-classes"][1]["idempotency"] = "side_effect"
+folder = os.path.join(case.dir, "n1")
+os.mkdir(folder)
+path = os.path.join(folder, "config.json")
+
+
+def write(config):
+    with open(path + ".new", "w") as file:
+        json.dump(config, file)
+    os.rename(path + ".new", path)
+
+
+def start(name, management):
+    return case.start(name, ["/bin/sh", "-c", run_command()], {
+        "NODE_CONFIG": path, "NODE_MANAGEMENT": "127.0.0.1:%d" % management, "TMPDIR": folder,
+        "VIOLETWIND_LOG": "info"})
+
+
+def send(fields, wait_s=6.0):
+    """One client's request. Returns the first line that it gets."""
+    send.count += 1
+    request = "%016x" % (0x9B1F03AA5C7E2D00 + send.count)
+    with socket.create_connection(("127.0.0.1", listen), 2.0) as stream:
+        stream.settimeout(wait_s)
+        stream.sendall(b"OPEN %s 7f3a9c21e0b4d655 %s,g=%s\r\n" % (request.encode(), fields.encode(), request.encode()))
+        try:
+            answer = stream.makefile("rb").readline().decode().rstrip("\r\n")
+        except OSError as error:
+            answer = "(%s)" % error
+    record("client %s (%s) got %s" % (request, fields, answer))
+    return request, answer
+
+
+send.count = 0
+
+
+def new_configuration():
+    write(after)
+    old.send_signal(signal.SIGHUP)
+    record("a new configuration: slot-hold may not be repeated; SIGHUP to the process that serves")
+    return time.monotonic()
+
+
+write(before)
+old = start("old", old_management)
+if not wait_until(lambda: answers_ping(listen), 10):
+    case.end(2, "the proxy is not ready")
+time.sleep(2.0)
+if not send("c=slot-hold,d=3000")[1].startswith("UP "):
+    case.end(2, "the proxy does not serve")
+if not case.trouble:
+    told_at = new_configuration()
     time.sleep(1.5)
-    current = running()
-    if len(current) != 1:
-        case.end(2, "the duty has changed hands before the disruption")
-    fence, node = current[0]
-    record("round %d: the command of %s runs under %d" % (round_number, node, fence))
-    if case.trouble:
-        proxies[node].send_signal(signal.SIGSTOP)
-        record("SIGSTOP to the proxy of %s" % node)
-    time.sleep(STOPPED_S)
-    if case.trouble:
-        proxies[node].send_signal(signal.SIGCONT)
-        record("SIGCONT to the proxy of %s" % node)
-    time.sleep(1.0)
-    # A command that has ended is started again, as by the next call from cron.
-    for at, process in holds.items():
-        if process.poll() is not None:
-            record("violetwind hold at %s has ended with %d" % (at, process.returncode))
-            holds[at] = hold(at)
-
-holdings = sorted(beats().items())
-overlaps = []
-for fence, (first, last, node) in holdings:
-    record("the command under %d ran at %s from %.3f to %.3f" % (fence, node, first, last))
-for (fence, (_, last, node)), (later, (first, _, later_node)) in zip(holdings, holdings[1:]):
-    record("%d at %s ended %.3f s %s %d began at %s" % (
-        fence, node, abs(last - first), "after" if last > first else "before", later, later_node))
-    if last > first + TOLERANCE_S:
-        overlaps.append("under %d at %s it ran on for %.3f s beside %d at %s" % (
-            fence, node, last - first, later, later_node))
-if case.trouble and len(holdings) < 2:
-    case.end(2, "the duty was never held anew")
-if overlaps:
-    case.end(1, "broken: two commands ran at once under one duty: " + "; ".join(overlaps))
-case.end(0, "held: %d holdings, no two at once" % len(holdings))
+discovery.slow_s = 1.2
+new = start("new", new_management)
+if case.trouble:
+    time.sleep(0.5)
+    health = call(new_management, "HEALTH")
+    record("HEALTH of the new process: %s" % health)
+    if health.startswith("200"):
+        case.end(2, "the new process is ready before the new configuration")
+    told_at = new_configuration()
+if not wait_until(lambda: call(new_management, "HEALTH").startswith("200"), 6):
+    case.end(2, "the new process says no yes within 6 s")
+record("the new process says yes, %.2f s after SIGHUP" % (time.monotonic() - told_at))
+old.send_signal(signal.SIGTERM)
+record("SIGTERM to the old process")
+killed_at = time.monotonic() + 3.7
+time.sleep(max(0.0, killed_at - time.monotonic()))
+if old.poll() is None:
+    old.kill()
+record("the old process has ended: %s" % old.wait())
+record("the new configuration was there %.2f s ago; 1.2 s count" % (time.monotonic() - told_at))
+breaks.set()
+runs = {}
+for _ in range(REQUESTS):
+    request, answer = send("c=slot-hold,d=3000")
+    time.sleep(0.3)
+    runs[request] = sum(1 for server in servers for _, opened in server.opened if opened == request)
+record("runs of each request: %s" % runs)
+log = case.log_of("new") + case.log_of("old")
+record("the reload in the logs: old %d, new %d" % (case.log_of("old").count(" reload "), case.log_of("new").count(" reload ")))
+twice = {request: count for request, count in runs.items() if count > 1}
+if not any(runs.values()):
+    case.end(2, "no request reached a server")
+if twice:
+    case.end(1, "broken: %d of %d requests that may not be repeated ran more than once, up to %d times" % (
+        len(twice), REQUESTS, max(twice.values())))
+case.end(0, "held: %d requests, none ran twice" % REQUESTS)
