A reload during an upgrade applies to both processes of the proxy

Cause: SIGHUP reaches one process of an upgrade, and a process read its files only at its start and at a signal of its own. Operators' changes are forwarded while both live, reloads were not. Evidence: lines `reload` in the logs, old process 1 with settings=true, new process 0; with the signal before the successor's start the case passes. Ruled out: a reload that failed or came late in the successor, and settings lost on their way to the module.

Change: the process that gets SIGHUP tells the other one (ConfigReloaded), both ways, before it reads the files itself. A successor also reads the files again, and applies them if they have changed, when it has the predecessor's state, before it serves, and when the predecessor has gone: there it may not be told (a signal before its first message, a predecessor of an earlier build, one that was killed). It works because every moment of a signal is either before one of these readings or within the session that tells. The message is sent only to processes that announce that they understand it, in a form that earlier builds ignore; encodings of the other messages are the same, the fixture has two lines more.

--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -181,6 +181,11 @@
         classes.into_iter().flatten().map(name).collect()
     }
 
+    /// Whether both files have the same contents.
+    pub fn has_same_file(&self, other: &Self) -> bool {
+        self.file == other.file
+    }
+
     /// Whether the settings for the balancer are the same in both files.
     pub fn has_same_settings(&self, other: &Self) -> bool {
         self.file["settings"] == other.file["settings"]
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 
 use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::{info, warn};
 use violetwind_engine::EngineEvent;
@@ -31,7 +31,8 @@
 use self::link::Link;
 use crate::acceptor::SharedState;
 use crate::limits::{Limits, ShutdownSchedule};
-use crate::operator_service::{self, ForwardedChange, ProcessState};
+use crate::operator_service::{self, ForwardTarget, ForwardedChange, ProcessState};
+use crate::reload::ReloadRequester;
 
 fn socket_path(dir: &Path) -> PathBuf {
     dir.join("violetwind.sock")
@@ -152,6 +153,7 @@
     pub shared: Rc<SharedState>,
     /// Whether this process accepts clients.
     pub accepting: watch::Sender<bool>,
+    pub reload_requester: ReloadRequester,
 }
 
 impl Predecessor {
@@ -176,6 +178,8 @@
                 .operator_service
                 .set_predecessor_present(false);
             info!(?ended, "the earlier process has gone");
+            // A signal that the earlier process could not handle any more was meant for this one too.
+            context.reload_requester.reload_if_changed().await;
         });
         async move || {
             // If the predecessor has exited, there is nothing to stop and no reply will come.
@@ -262,8 +266,8 @@
     let role = Role::Predecessor {
         serve_by: Some(Instant::now() + limits.successor_ready_timeout),
     };
-    // The session forwards changes from here on, before the state is read: a change is either in the state or
-    // forwarded, never lost between the two.
+    // The session forwards changes and reloads from here on, before the state is read: a change is either in the state
+    // or forwarded, never lost between the two. A reload before is in the files, which the successor reads again.
     let mut session = HandoverSession::new(link, context, role);
     let state = HandoverState {
         bans: service.bans(),
@@ -324,6 +328,10 @@
     id: u64,
     /// Operators' changes to forward to the other process.
     changes: mpsc::Receiver<ForwardedChange>,
+    /// Notified when the other process has to reload its configuration files.
+    reloads: Rc<Notify>,
+    /// Whether the other process understands `ConfigReloaded`; a build from before that message ends the session at it.
+    peer_understands_reloads: bool,
     /// Forwarded changes that the other process has not confirmed yet, by message number.
     pending_changes: BTreeMap<u32, oneshot::Sender<()>>,
     /// Connections that relays of this process offer.
@@ -358,6 +366,7 @@
         let limits = &context.shared.limits;
         let (change_sender, changes) = mpsc::channel(limits.forward_queue_capacity);
         let (offer_sender, offers) = mpsc::channel(limits.max_concurrent_transfers);
+        let reloads = Rc::new(Notify::new());
         if matches!(role, Role::Predecessor { .. }) {
             context
                 .shared
@@ -371,8 +380,13 @@
             id: context
                 .shared
                 .operator_service
-                .add_forward_target(change_sender),
+                .add_forward_target(ForwardTarget {
+                    changes: change_sender,
+                    reloads: reloads.clone(),
+                }),
             changes,
+            reloads,
+            peer_understands_reloads: false,
             pending_changes: BTreeMap::new(),
             offers,
             pending_offers: BTreeMap::new(),
@@ -385,6 +399,9 @@
 
     async fn run(mut self) -> io::Result<()> {
         let limits = &self.context.shared.limits;
+        self.link
+            .send(&Message::UNDERSTANDS_RELOADS, limits)
+            .await?;
         loop {
             self.report_descriptors_in_use().await?;
             let tick = Instant::now() + limits.descriptor_report_interval;
@@ -405,6 +422,9 @@
                     self.pending_changes.insert(self.message_number, applied);
                     self.link.send(&Message::Change(self.message_number, change), limits).await?;
                 }
+                () = self.reloads.notified(), if self.peer_understands_reloads => {
+                    self.link.send(&Message::ConfigReloaded, limits).await?;
+                }
                 Some(offer) = self.offers.recv(), if has_capacity => {
                     self.message_number += 1;
                     let message = Message::ConnectionOffer(self.message_number, offer.connection);
@@ -473,6 +493,14 @@
                     .send(&Message::ChangeApplied(number), limits)
                     .await?;
             }
+            Message::UNDERSTANDS_RELOADS => self.peer_understands_reloads = true,
+            Message::ConfigReloaded => {
+                info!("the other process has reloaded its configuration files");
+                self.context
+                    .reload_requester
+                    .reload_with_other_process(self.id)
+                    .await;
+            }
             Message::ChangeApplied(number) => {
                 if let Some(applied) = self.pending_changes.remove(&number) {
                     // The task that forwarded the change may have stopped waiting.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -286,6 +286,7 @@
         }
     }
     let ReloadUpdates {
+        requester: reload_requester,
         discovery_address: discovery,
         sources,
     } = reload_updates;
@@ -324,6 +325,7 @@
     let handover_context = Rc::new(HandoverContext {
         shared: shared.clone(),
         accepting,
+        reload_requester: reload_requester.clone(),
     });
     if let Some(agent) = &mut maintenance_agent {
         agent
@@ -331,6 +333,8 @@
             .await;
     }
     if let Some(predecessor) = inherited.predecessor {
+        // This process read its files before the predecessor began to tell it of reloads.
+        reload_requester.reload_if_changed().await;
         let complete_handover = predecessor.start_session(handover_context.clone());
         // If no list comes from discovery in time, the last known list is used, as at any other start.
         let mut list_received = list_ready.subscribe();
@@ -341,6 +345,8 @@
         .await;
         list_ready.send_replace(true);
         complete_handover().await;
+        // A predecessor of an earlier build does not tell of its reloads.
+        reload_requester.reload_if_changed().await;
         if let Some(agent) = &mut maintenance_agent {
             agent.reload_state().await;
         }
--- a/crates/proxy/src/operator_service.rs
+++ b/crates/proxy/src/operator_service.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 use violetwind_engine::{EngineEvent, OperatorReply, UnlistedServers};
@@ -34,6 +34,15 @@
 /// A change forwarded to the other process of an upgrade, with the sender that confirms it.
 pub type ForwardedChange = (OperatorChange, oneshot::Sender<()>);
 
+/// Another process of an upgrade, to which what applies to both is forwarded.
+#[derive(Clone, Debug)]
+pub struct ForwardTarget {
+    /// Operators' changes.
+    pub changes: mpsc::Sender<ForwardedChange>,
+    /// Notified when this process has reloaded its configuration files.
+    pub reloads: Rc<Notify>,
+}
+
 /// Executes operators' commands and holds the process state that they read or change.
 pub struct OperatorService {
     limits: Rc<Limits>,
@@ -49,8 +58,8 @@
     bans: RefCell<Bans>,
     /// The discovery address set by a reload.
     discovery_override: Cell<Option<SocketAddr>>,
-    /// Senders of changes to the other processes of an upgrade, by number: usually one, briefly two.
-    forward_targets: RefCell<BTreeMap<u64, mpsc::Sender<ForwardedChange>>>,
+    /// The other processes of an upgrade, by number: usually one, briefly two.
+    forward_targets: RefCell<BTreeMap<u64, ForwardTarget>>,
     next_target_id: Cell<u64>,
     /// Sender of connection offers to a successor.
     successor_sender: RefCell<Option<mpsc::Sender<ConnectionOffer>>>,
@@ -176,14 +185,24 @@
         self.successor_sender.replace(successor_sender);
     }
 
-    /// Adds a process that operators' changes are forwarded to. Returns its number.
-    pub fn add_forward_target(&self, change_sender: mpsc::Sender<ForwardedChange>) -> u64 {
+    /// Adds a process that operators' changes and reloads are forwarded to. Returns its number.
+    pub fn add_forward_target(&self, target: ForwardTarget) -> u64 {
         let id = self.next_target_id.replace(self.next_target_id.get() + 1);
-        self.forward_targets.borrow_mut().insert(id, change_sender);
+        self.forward_targets.borrow_mut().insert(id, target);
         id
     }
 
-    /// Stops forwarding changes to the process with this number.
+    /// Tells the other processes of an upgrade, except the one with number `from`, to reload the configuration files.
+    /// Several reloads that a process has not been told of yet count as one.
+    pub fn announce_reload(&self, from: Option<u64>) {
+        for (id, target) in self.forward_targets.borrow().iter() {
+            if Some(*id) != from {
+                target.reloads.notify_one();
+            }
+        }
+    }
+
+    /// Stops forwarding to the process with this number.
     pub fn remove_forward_target(&self, id: u64) {
         self.forward_targets.borrow_mut().remove(&id);
     }
@@ -317,7 +336,7 @@
         let targets: Vec<_> = {
             let targets = self.forward_targets.borrow();
             let targets = targets.iter().filter(|(id, _)| Some(**id) != from);
-            targets.map(|(_, sender)| sender.clone()).collect()
+            targets.map(|(_, target)| target.changes.clone()).collect()
         };
         for target in targets {
             let (confirm, confirmed) = oneshot::channel();
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -341,18 +341,28 @@
 
     /// Changes the platform configuration file and sends SIGHUP.
     pub fn reload(&self, change: impl FnOnce(&mut Value)) {
-        let text = std::fs::read_to_string(self.dir.join("config.json")).unwrap();
-        let mut config = serde_json::from_str(&text).unwrap();
-        change(&mut config);
-        self.reload_text(&config.to_string());
+        self.replace_config(change);
+        self.signal("-HUP");
     }
 
     /// Replaces the platform configuration file atomically by `text` and sends SIGHUP.
     pub fn reload_text(&self, text: &str) {
+        self.replace_config_text(text);
+        self.signal("-HUP");
+    }
+
+    /// Changes the platform configuration file without a signal.
+    pub fn replace_config(&self, change: impl FnOnce(&mut Value)) {
+        let mut config = serde_json::from_str(&self.config_text()).unwrap();
+        change(&mut config);
+        self.replace_config_text(&config.to_string());
+    }
+
+    /// Replaces the platform configuration file atomically by `text`.
+    fn replace_config_text(&self, text: &str) {
         let new = self.dir.join("new.json");
         std::fs::write(&new, text).unwrap();
         std::fs::rename(&new, self.dir.join("config.json")).unwrap();
-        self.signal("-HUP");
     }
 
     /// Replaces the operator's file atomically by `text` and sends SIGHUP.
@@ -463,6 +473,20 @@
     }
 }
 
+/// Waits until `HEALTH` reports that the proxy serves.
+pub fn wait_healthy(proxy: &Proxy) {
+    proxy.wait_for_log("operators are heard");
+    let until = Instant::now() + Duration::from_secs(6);
+    while !proxy.call("HEALTH").starts_with("200") {
+        assert!(
+            Instant::now() < until,
+            "the proxy does not serve in time:\n{}",
+            proxy.log()
+        );
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// Removes the load reports of servers from the configuration: the balancer then admits any number of clients.
 pub fn disable_load_reports(config: &mut Value) {
     config["settings"]["reporting"]["fields"] = json!([]);
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -9,6 +9,7 @@
 
 use common::{
     ConnectionEnd, Discovery, LineConnection, Pingable, Proxy, Server, disable_load_reports,
+    wait_healthy,
 };
 use serde_json::json;
 use violetwind_service::handover::{self, Message, MessageDecoder};
@@ -22,20 +23,6 @@
     (discovery, proxy)
 }
 
-/// Waits until `HEALTH` reports that the proxy serves.
-fn wait_healthy(proxy: &Proxy) {
-    proxy.wait_for_log("operators are heard");
-    let until = Instant::now() + Duration::from_secs(6);
-    while !proxy.call("HEALTH").starts_with("200") {
-        assert!(
-            Instant::now() < until,
-            "the proxy does not serve in time:\n{}",
-            proxy.log()
-        );
-        thread::sleep(Duration::from_millis(10));
-    }
-}
-
 /// The old process has established clients, one that waits for its answer, one that has sent half its line, and some in
 /// the accept queue, while new ones keep arriving. None is refused, cut off or left unread.
 #[test]
--- a/crates/service/src/handover.rs
+++ b/crates/service/src/handover.rs
@@ -43,6 +43,15 @@
     /// The connection belongs to the successor from this message on. Until then either process may end, and the other
     /// one has the connection.
     ConnectionTransferred(u32),
+    /// The sender has read its configuration files again on SIGHUP; the receiver has to do so too. Sent only to a
+    /// process that has sent [`Message::UNDERSTANDS_RELOADS`].
+    ConfigReloaded,
+}
+
+impl Message {
+    /// Announces that the sender understands [`Message::ConfigReloaded`]. Changes are numbered from 1, so that builds
+    /// before that message ignore the announcement.
+    pub const UNDERSTANDS_RELOADS: Self = Self::ChangeApplied(0);
 }
 
 /// An established connection, offered at a line boundary; the offering process has no buffered data of it.
--- a/crates/service/tests/encoding.rs
+++ b/crates/service/tests/encoding.rs
@@ -65,6 +65,8 @@
         Message::ConnectionAccepted(35),
         Message::ConnectionDeclined(36),
         Message::ConnectionTransferred(37),
+        Message::ConfigReloaded,
+        Message::UNDERSTANDS_RELOADS,
     ]);
     messages
 }
@@ -81,11 +83,13 @@
         Message::Change(_, OperatorChange::Online(_)) => "change-online",
         Message::Change(_, OperatorChange::Leave) => "change-leave",
         Message::Change(_, OperatorChange::Join) => "change-join",
+        Message::ChangeApplied(0) => "understands-reloads",
         Message::ChangeApplied(_) => "in-force",
         Message::ConnectionOffer(..) => "connection",
         Message::ConnectionAccepted(_) => "taken",
         Message::ConnectionDeclined(_) => "not-taken",
         Message::ConnectionTransferred(_) => "yours",
+        Message::ConfigReloaded => "config-reloaded",
     }
 }
 
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, mpsc};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -117,6 +117,11 @@
             .expect("no OPEN arrived in time")
     }
 
+    /// Waits up to `time` for the next client connection.
+    pub fn next_open_within(&self, time: Duration) -> Option<(String, LineConnection)> {
+        self.open_receiver.recv_timeout(time).ok()
+    }
+
     /// Waits for the next client connection; returns none as soon as `answered` reports that the client has its answer.
     pub fn next_open_unless(
         &self,
