A client whose server accepts it as its request is given up is moved, not reset

Cause: the engine ends admission, gives up what it holds as in flight and forgets it, while the report that the connection is up is still in its queue. The relay ignored the final answer and took the closed channel behind it for the end of the engine: it reset the client and blamed the server.

Change: a relay that gets a final answer, or whose channel is closed, moves its client, or ends with the server's last line if there is one. It holds in either order, as the task alone knows that the client has its UP. The log tells this end from a server that broke.

--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,6 +1,9 @@
 //! Stage five: relays lines unchanged in both directions until one side ends or the client is moved. To the client it
 //! forwards whole lines, so that it can insert a `MOVE` of its own; a part of a line is forwarded only if the buffer is
 //! full or the server has ended its stream.
+//!
+//! The engine may give a request up, as admission ends, before it handles the report that the connection is up. It
+//! then knows nothing of the connection, and the client has its `UP`: the relay moves the client itself.
 
 use std::future::pending;
 use std::io;
@@ -158,7 +161,7 @@
     /// As `ServerClosed`, but the server did not end first.
     ClientClosed,
     /// The server's socket failed. Also returned if `MOVE` can't be inserted because the server has stopped within a
-    /// line, and if the engine has ended.
+    /// line.
     ServerBroke,
     /// The client's socket failed.
     ClientBroke,
@@ -195,6 +198,8 @@
     move_now: bool,
     /// The connection is offered to the successor as soon as it is between lines.
     handover_requested: bool,
+    /// The engine has given the request up and sends no more commands.
+    given_up: bool,
     limits: &'a Limits,
     log_throttle: &'a LogThrottle,
 }
@@ -235,6 +240,7 @@
         move_deadline: None,
         move_now: false,
         handover_requested: false,
+        given_up: false,
         limits,
         log_throttle: &shared.log_throttle,
     };
@@ -259,7 +265,7 @@
     };
     debug!(server = server_id, id = open.id, ?end, "relay ended");
     let wrote_rest = end.is_by_server() && relay.write_complete_lines().await;
-    let client_may_send = relay.client_may_send();
+    let (client_may_send, has_last_line) = (relay.client_may_send(), relay.has_last_line());
     let Relay {
         mut client,
         server,
@@ -277,8 +283,6 @@
         RelayEnd::ClientClosed => tracker.report_client_left().await,
         // The client's connection is reset too, unless the reset could overtake lines not yet received by the client.
         RelayEnd::ServerBroke => {
-            // `Reset` is the initial outcome: the server has sent no last line.
-            let has_last_line = outcome.0 != Outcome::Reset;
             tracker.report_end(server_id, outcome).await;
             match wrote_rest || has_last_line {
                 true => client.linger_close(limits).await,
@@ -403,16 +407,28 @@
             tokio::select! {
                 () = self.to_server.wait_ready(&client.ring, &client.stream, &server.stream) => {}
                 () = self.to_client.wait_ready(&server.ring, &server.stream, &client.stream) => {}
-                command = commands.recv() => match command {
+                command = commands.recv(), if !self.given_up => match command {
                     // The engine repeats the command when no time is left to wait.
                     Some(ConnectionCommand::Move) if self.move_deadline.is_some() => self.move_now = true,
                     Some(ConnectionCommand::Move) => {
                         self.move_deadline = Some(Instant::now() + self.limits.move_timeout);
                     }
                     Some(ConnectionCommand::HandOver) => self.handover_requested = true,
-                    Some(_) => {}
-                    // The engine has ended, so the process ends too; the server is not at fault.
-                    None => return RelayEnd::ServerBroke,
+                    Some(ConnectionCommand::Refuse(_) | ConnectionCommand::Fail) | None => {
+                        debug!(server = server_id, "the request was given up as its connection came up");
+                        self.given_up = true;
+                        if self.has_last_line() {
+                            return RelayEnd::ServerClosed;
+                        }
+                        self.move_deadline = Some(Instant::now());
+                    }
+                    // These commands are for a request whose connection is not up yet.
+                    Some(
+                        ConnectionCommand::Send { .. }
+                        | ConnectionCommand::Cancel
+                        | ConnectionCommand::Recall
+                        | ConnectionCommand::NotYet,
+                    ) => {}
                 },
                 () = sleep_until_some(wake_at) => {
                     let now = Instant::now();
@@ -429,6 +445,11 @@
         }
     }
 
+    /// Whether the server has sent the last line of the connection. `Reset` is the initial outcome.
+    fn has_last_line(&self) -> bool {
+        self.outcome.0 != Outcome::Reset
+    }
+
     /// Whether the client may send more: the end of its stream has not been read.
     fn client_may_send(&self) -> bool {
         !self.to_server.read_ended || self.to_server.receiver_gone
@@ -441,7 +462,7 @@
         };
         is_idle(&self.to_server, &self.client.ring)
             && is_idle(&self.to_client, &self.server.ring)
-            && self.outcome.0 == Outcome::Reset
+            && !self.has_last_line()
     }
 
     /// Offers the connection to the successor and returns whether the successor has accepted it. Nothing is read from
