A final answer during an attempt is given to the client where nothing is cancelled

What callers saw: with permissions.cancel false, a client whose attempt was in flight as admission ended got ERR, which says that a repeat may do harm, where the balancer had decided on BUSY.

Cause: without the permission no Cancel comes before the final answer. The task waits for Cancel during an attempt, dropped the final answer as unexpected, and answered ERR when the channel was closed. Ruled out: a balancer that decides on Fail (the test sends Refuse itself).

Change: a final answer ends the attempt and reaches the client.

--- a/crates/proxy/src/route.rs
+++ b/crates/proxy/src/route.rs
@@ -185,9 +185,12 @@
         let attempt = tokio::select! {
             biased;
             routed = wait_for_client_activity(ring, stream) => return routed,
-            () = wait_for_cancellation(commands, &recalled) => {
-                AttemptResult::Failed(Outcome::Cancelled, Default::default())
-            }
+            end = wait_for_cancellation(commands, &recalled) => match end {
+                AttemptCancellation::Final(routed) => return routed,
+                AttemptCancellation::Cancelled => {
+                    AttemptResult::Failed(Outcome::Cancelled, Default::default())
+                }
+            },
             attempt = attempt => attempt,
         };
         match attempt {
@@ -254,15 +257,28 @@
     .ok()
 }
 
-/// Returns when the balancer cancels the attempt. Sets `recalled` if the server of the attempt drains.
+/// How the engine ends an attempt.
+enum AttemptCancellation {
+    /// A command for the request follows.
+    Cancelled,
+    /// The request gets its final answer.
+    Final(Routed),
+}
+
+/// Returns when the engine ends the attempt, with or without cancelling it first. Sets `recalled` if the server of the
+/// attempt drains.
 async fn wait_for_cancellation(
     commands: &mut mpsc::Receiver<ConnectionCommand>,
     recalled: &Cell<bool>,
-) {
+) -> AttemptCancellation {
     loop {
         match commands.recv().await {
-            Some(ConnectionCommand::Cancel) | None => return,
+            Some(ConnectionCommand::Cancel) | None => return AttemptCancellation::Cancelled,
             Some(ConnectionCommand::Recall) => recalled.set(true),
+            Some(ConnectionCommand::Refuse(wait)) => {
+                return AttemptCancellation::Final(Routed::Refused(wait));
+            }
+            Some(ConnectionCommand::Fail) => return AttemptCancellation::Final(Routed::Failed),
             // The engine sends nothing else during an attempt.
             Some(command) => warn!(order = ?command, "unexpected command during an attempt"),
         }
--- a/crates/proxy/tests/crossing_commands.rs
+++ b/crates/proxy/tests/crossing_commands.rs
@@ -259,6 +259,27 @@
     });
 }
 
+/// Guards against `ERR` in place of `BUSY`, where settings forbid to cancel attempts: the final answer that came during
+/// an attempt was dropped, and the client was told that a repeat may do harm.
+#[test]
+fn a_final_answer_during_an_attempt_reaches_the_client() {
+    run(async {
+        let mut front = Front::start().await;
+        for (command, answer) in [
+            (ConnectionCommand::Refuse(Some(0.25)), "BUSY 250"),
+            (ConnectionCommand::Fail, "ERR"),
+        ] {
+            let request = front.send_request().await;
+            let mut server = request.start_attempt().await;
+            let mut client = request.give_up([command]).await;
+            assert_eq!(read_line(&mut client).await.unwrap(), answer);
+            assert_closed(&mut client).await;
+            // The attempt has ended with the request.
+            assert_closed(&mut server).await;
+        }
+    });
+}
+
 /// Guards against two answers: the server accepts the request in the moment in which it is given up, and the client has
 /// been told nothing yet.
 #[test]
