Operators are heard by a successor only once it tells its predecessor of changes

Cause: a successor opened the operators' address before its session with the predecessor was registered among those that changes are forwarded to. A change in between (LEAVE, say, which needs no list) would be in force in one of the two processes only.

Change: the session is created, and registered, before the address is opened; it owns its context now, as it is created outside its task. The files are read again after that: a reload is told from there on, or read.

Measured: tests of upgrades, reloads in upgrades and work orders pass. There is no test of its own for the gap: no call can be placed into it from outside.

--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -157,21 +157,23 @@
 }
 
 impl Predecessor {
-    /// Starts the task that handles messages of the predecessor, including the operators' changes it receives.
-    /// The returned function makes the predecessor stop accepting. Until this process accepts, clients wait in
+    /// Starts the task that handles messages of the predecessor, including the operators' changes it receives. Once
+    /// this returns, the predecessor is told of operators' changes and reloads of this process. The returned function makes the predecessor stop accepting. Until this process accepts, clients wait in
     /// the accept queue, so the function returns after `stop_ack_timeout` at the latest, even without a reply.
-    pub fn start_session(self, context: Rc<HandoverContext>) -> impl AsyncFnOnce() {
+    pub fn start_session(self, context: &Rc<HandoverContext>) -> impl AsyncFnOnce() + use<> {
+        let context = context.clone();
         let limits = context.shared.limits.clone();
         let requests = context.shared.request_descriptors.clone();
         requests.set_used_by_other_process(self.descriptors_in_use as usize);
         let (serving_sender, serving_receiver) = oneshot::channel();
         let (stopped_sender, stopped_receiver) = oneshot::channel();
+        let role = Role::Successor {
+            serving: Some(serving_receiver),
+            stopped: Some(stopped_sender),
+        };
+        let session = HandoverSession::new(self.link, &context, role);
         tokio::task::spawn_local(async move {
-            let role = Role::Successor {
-                serving: Some(serving_receiver),
-                stopped: Some(stopped_sender),
-            };
-            let ended = HandoverSession::new(self.link, &context, role).run().await;
+            let ended = session.run().await;
             requests.set_used_by_other_process(0);
             context
                 .shared
@@ -252,7 +254,7 @@
 async fn hand_over(
     mut link: Link,
     listener: &TcpListener,
-    context: &HandoverContext,
+    context: &Rc<HandoverContext>,
 ) -> io::Result<()> {
     let (limits, service) = (&context.shared.limits, &context.shared.operator_service);
     let to_hello_timeout = |_| io::Error::other("the successor sent no message in time");
@@ -320,9 +322,9 @@
 }
 
 /// Exchange of messages between the two processes of an upgrade, until either ends.
-struct HandoverSession<'a> {
+struct HandoverSession {
     link: Link,
-    context: &'a HandoverContext,
+    context: Rc<HandoverContext>,
     role: Role,
     /// Number of this session among the forward targets of the operators' service.
     id: u64,
@@ -348,7 +350,7 @@
     adopted_since_log: usize,
 }
 
-impl Drop for HandoverSession<'_> {
+impl Drop for HandoverSession {
     fn drop(&mut self) {
         self.context
             .shared
@@ -361,8 +363,8 @@
     }
 }
 
-impl<'a> HandoverSession<'a> {
-    fn new(link: Link, context: &'a HandoverContext, role: Role) -> Self {
+impl HandoverSession {
+    fn new(link: Link, context: &Rc<HandoverContext>, role: Role) -> Self {
         let limits = &context.shared.limits;
         let (change_sender, changes) = mpsc::channel(limits.forward_queue_capacity);
         let (offer_sender, offers) = mpsc::channel(limits.max_concurrent_transfers);
@@ -375,7 +377,7 @@
         }
         Self {
             link,
-            context,
+            context: context.clone(),
             role,
             id: context
                 .shared
@@ -398,7 +400,7 @@
     }
 
     async fn run(mut self) -> io::Result<()> {
-        let limits = &self.context.shared.limits;
+        let limits = &*self.context.shared.limits.clone();
         self.link
             .send(&Message::UNDERSTANDS_RELOADS, limits)
             .await?;
@@ -475,7 +477,7 @@
     }
 
     async fn handle_message(&mut self, message: Message) -> io::Result<()> {
-        let shared = &self.context.shared;
+        let shared = &self.context.shared.clone();
         let limits = &shared.limits;
         match message {
             Message::Change(number, change) => {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -308,6 +308,16 @@
         }
     }
     tokio::task::spawn_local(reloader.run(service.clone()));
+    let (accepting, is_accepting) = watch::channel(true);
+    let handover_context = Rc::new(HandoverContext {
+        shared: shared.clone(),
+        accepting,
+        reload_requester: reload_requester.clone(),
+    });
+    let has_predecessor = inherited.predecessor.is_some();
+    // Operators are heard only once the predecessor is told of their changes.
+    let complete_handover =
+        (inherited.predecessor).map(|predecessor| predecessor.start_session(&handover_context));
     if let Some(address) = config.management {
         let add_address = |error: io::Error| {
             io::Error::new(error.kind(), format!("management {address}: {error}"))
@@ -321,21 +331,12 @@
         let calls = management::accept_callers(listener, limits.clone(), service.clone());
         tokio::task::spawn_local(calls);
     }
-    let (accepting, is_accepting) = watch::channel(true);
-    let handover_context = Rc::new(HandoverContext {
-        shared: shared.clone(),
-        accepting,
-        reload_requester: reload_requester.clone(),
-    });
     if let Some(agent) = &mut maintenance_agent {
-        agent
-            .start(machines_out, inherited.predecessor.is_some())
-            .await;
+        agent.start(machines_out, has_predecessor).await;
     }
-    if let Some(predecessor) = inherited.predecessor {
+    if let Some(complete_handover) = complete_handover {
         // This process read its files before the predecessor began to tell it of reloads.
         reload_requester.reload_if_changed().await;
-        let complete_handover = predecessor.start_session(handover_context.clone());
         // If no list comes from discovery in time, the last known list is used, as at any other start.
         let mut list_received = list_ready.subscribe();
         let _ = timeout(
