A ban that can't be saved is forwarded to the other process of an upgrade

What callers saw: with a disk that takes no writes, OFFLINE at one process of an upgrade was in force there and answered 400, and the other process went on using the server, past the second after which it counts as drained.

Cause: the error of the write ended the call before the change was forwarded, and so did a repeated call's. Evidence: the test, in which a directory stands where the file has to go. Ruled out: the forwarding itself (with a working disk the same calls apply to both, bans_and_leave_apply_to_both_processes).

Change: a change that is in force is forwarded, and then its saving decides the answer, as before.

The played successor of the tests stands in a file of its own now, as two test files use it; its checks are the same.

--- a/crates/proxy/src/operator_service.rs
+++ b/crates/proxy/src/operator_service.rs
@@ -43,6 +43,26 @@
     pub reloads: Rc<Notify>,
 }
 
+/// A change that is in force in this process.
+struct AppliedChange {
+    message: String,
+    /// Why the bans can't be saved for a later process.
+    save_error: Option<String>,
+}
+
+impl AppliedChange {
+    /// The answer to the operator: a refusal if a later process would not know of the change.
+    fn into_reply(self) -> Result<String, String> {
+        match self.save_error {
+            None => Ok(self.message),
+            Some(error) => Err(format!(
+                "{}, but not kept for an upgrade: {error}",
+                self.message
+            )),
+        }
+    }
+}
+
 /// Executes operators' commands and holds the process state that they read or change.
 pub struct OperatorService {
     limits: Rc<Limits>,
@@ -314,11 +334,12 @@
         Ok(format!("serving, {servers} servers known{left_suffix}"))
     }
 
-    /// Applies a change in all processes. Returns the reply of this process, since another may have no list yet.
+    /// Applies a change in all processes. Returns the reply of this process, since another may have no list yet. A
+    /// change that is in force here is forwarded even if it can't be saved.
     async fn apply_everywhere(self: &Rc<Self>, change: OperatorChange) -> Result<String, String> {
-        let reply = self.apply(change.clone(), UnlistedServers::Reject).await?;
+        let applied = self.apply(change.clone(), UnlistedServers::Reject).await?;
         self.forward(None, change).await;
-        Ok(reply)
+        applied.into_reply()
     }
 
     /// Applies a change received from the other process with number `from`, and forwards it to all others.
@@ -327,9 +348,9 @@
         from: u64,
         change: OperatorChange,
     ) -> Result<String, String> {
-        let reply = self.apply(change.clone(), UnlistedServers::Accept).await;
+        let applied = self.apply(change.clone(), UnlistedServers::Accept).await;
         self.forward(Some(from), change).await;
-        reply
+        applied?.into_reply()
     }
 
     async fn forward(&self, from: Option<u64>, change: OperatorChange) {
@@ -347,12 +368,12 @@
         }
     }
 
-    /// Applies a change in the engine of this process and saves the bans to disk.
+    /// Applies a change in the engine of this process and saves the bans to disk. Fails if the change is not in force.
     async fn apply(
         self: &Rc<Self>,
         change: OperatorChange,
         unlisted_servers: UnlistedServers,
-    ) -> Result<String, String> {
+    ) -> Result<AppliedChange, String> {
         let (reply, answer) = oneshot::channel();
         let engine_ended = || "the engine has ended".to_string();
         let event = EngineEvent::OperatorChange(change.clone(), unlisted_servers, reply);
@@ -370,6 +391,7 @@
             OperatorChange::Leave => format!("left{already_suffix}"),
             OperatorChange::Join => format!("back at work{already_suffix}"),
         };
+        let mut save_error = None;
         match change {
             OperatorChange::Leave | OperatorChange::Join => {
                 self.has_left.set(change == OperatorChange::Leave)
@@ -379,11 +401,14 @@
                 if let Err(error) = self.save_bans(&bans) {
                     warn!(error, "the list of banned servers can't be saved");
                     self.retry_saving_bans();
-                    return Err(format!("{message}, but not kept for an upgrade: {error}"));
+                    save_error = Some(error);
                 }
             }
         }
-        Ok(message)
+        Ok(AppliedChange {
+            message,
+            save_error,
+        })
     }
 
     /// Starts a task that retries to save the bans until it succeeds, unless one is already running.
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! behaviour is in the test files.
 #![allow(dead_code, unused_imports)] // each test file uses only some of these items
 
+mod played_successor;
+
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -11,6 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+pub use played_successor::PlayedSuccessor;
 use serde_json::{Value, json};
 use violetwind_standins::faults::FaultInjector;
 pub use violetwind_standins::{
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -2,17 +2,17 @@
 
 mod common;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::{
-    ConnectionEnd, Discovery, LineConnection, Pingable, Proxy, Server, disable_load_reports,
-    wait_healthy,
+    ConnectionEnd, Discovery, LineConnection, Pingable, PlayedSuccessor, Proxy, Server,
+    disable_load_reports, wait_healthy,
 };
 use serde_json::json;
-use violetwind_service::handover::{self, Message, MessageDecoder};
+use violetwind_service::handover::Message;
 
 /// Starts a managed proxy for one server and waits until it accepts successors.
 fn start_managed(server: &Server) -> (Discovery, Proxy) {
@@ -132,13 +132,6 @@
     }
 }
 
-/// Encodes the frames of a successor that the test itself plays.
-fn encode_frames(messages: &[Message]) -> Vec<u8> {
-    let limits = violetwind_service::Limits::default();
-    let encode = |message| handover::encode_frame(message, &limits).unwrap();
-    messages.iter().flat_map(encode).collect()
-}
-
 /// The successor receives the sockets and dies before it owns them, or declines them: the old process continues to
 /// relay, and nothing is relayed twice.
 #[test]
@@ -151,35 +144,17 @@
     ] {
         let (_discovery, old) = start_managed(&server);
         let (mut client, mut conn) = old.establish_connection(&server);
-        let mut stream = UnixStream::connect(old.dir().join("violetwind.sock")).unwrap();
-        stream
-            .set_read_timeout(Some(Duration::from_secs(10)))
-            .unwrap();
-        stream
-            .write_all(&encode_frames(&[Message::Hello, Message::Serving]))
-            .unwrap();
-        let (mut messages, limits) = (
-            MessageDecoder::default(),
-            violetwind_service::Limits::default(),
-        );
-        let mut buffer = [0; 512];
-        loop {
-            let count = stream.read(&mut buffer).unwrap();
-            messages.feed(&buffer[..count]);
-            let mut received = std::iter::from_fn(|| messages.next(&limits).unwrap());
-            if received.any(|message| matches!(message, Message::ConnectionOffer(1, _))) {
-                break;
-            }
-        }
+        let mut successor = PlayedSuccessor::connect(&old);
+        successor.send(&Message::Serving);
+        successor.read_until(|message| matches!(message, Message::ConnectionOffer(1, _)));
         if let Some(answer) = &answer {
-            let answer = std::slice::from_ref(answer);
-            stream.write_all(&encode_frames(answer)).unwrap();
+            successor.send(answer);
         }
         client.send_line("SAY on");
         if answer != Some(Message::ConnectionDeclined(1)) {
             // The handover is still pending: the connection is paused, and no line is lost once the successor has gone.
             assert!(conn.is_quiet_for(Duration::from_millis(100)));
-            drop(stream);
+            drop(successor);
         }
         assert_eq!(conn.read_line(), "SAY on");
         conn.send_line("OK on");
@@ -217,6 +192,29 @@
     assert!(new.call_expecting_ok("OFFLINE s-2").contains("already"));
 }
 
+/// Guards against a server that the other process goes on using: a ban that could not be written to disk was in force in
+/// the process that got the call, and was not forwarded.
+#[test]
+fn a_ban_that_cannot_be_saved_applies_to_both_processes() {
+    let servers = ["s-1", "s-2"].map(Server::start);
+    let targets = servers.each_ref().map(|s| s.target_row("ready"));
+    let discovery = Discovery::start(&targets);
+    let old = Proxy::start_with_management(&discovery, disable_load_reports);
+    old.wait_for_log("successors are awaited");
+    let new = old.start_successor(discovery.addr);
+    wait_healthy(&new);
+    // No file replaces a directory.
+    std::fs::create_dir(old.dir().join("violetwind.bans")).unwrap();
+    assert!(old.call_expecting_refusal("OFFLINE s-2").contains("is out"));
+    for _ in 0..5 {
+        new.establish_connection(&servers[0]);
+    }
+    assert!(servers[1].no_pending_open());
+    assert!(old.call_expecting_refusal("ONLINE s-2").contains("in use"));
+    let refusal = new.call_expecting_refusal("ONLINE s-2");
+    assert!(refusal.contains("in use already"), "{refusal}");
+}
+
 /// The successor of a proxy that has left has left too, until `JOIN`.
 #[test]
 fn a_successor_of_a_proxy_that_left_has_left_too() {
--- a/crates/proxy/tests/upgrade_reload.rs
+++ b/crates/proxy/tests/upgrade_reload.rs
@@ -3,17 +3,15 @@
 
 mod common;
 
-use std::io::{Read, Write};
-use std::os::unix::net::UnixStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use common::{
-    Discovery, DiscoveryMode, LineConnection, Proxy, Server, WAIT_TIMEOUT, disable_load_reports,
-    wait_healthy,
+    Discovery, DiscoveryMode, LineConnection, PlayedSuccessor, Proxy, Server, WAIT_TIMEOUT,
+    disable_load_reports, wait_healthy,
 };
 use serde_json::{Value, json};
-use violetwind_service::handover::{self, Message, MessageDecoder};
+use violetwind_service::handover::Message;
 
 /// Starts two servers, and a managed proxy that accepts successors.
 fn start_managed() -> ([Server; 2], Discovery, Proxy) {
@@ -151,50 +149,6 @@
     assert_eq!((reloads(&old), reloads(&new)), (2, 2));
 }
 
-/// A successor that the test plays.
-struct PlayedSuccessor {
-    stream: UnixStream,
-    decoder: MessageDecoder,
-    limits: violetwind_service::Limits,
-}
-
-impl PlayedSuccessor {
-    /// Connects to the proxy and sends the hello.
-    fn connect(old: &Proxy) -> Self {
-        let stream = UnixStream::connect(old.dir().join("violetwind.sock")).unwrap();
-        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
-        let mut successor = Self {
-            stream,
-            decoder: MessageDecoder::default(),
-            limits: violetwind_service::Limits::default(),
-        };
-        successor.send(&Message::Hello);
-        successor
-    }
-
-    fn send(&mut self, message: &Message) {
-        let frame = handover::encode_frame(message, &self.limits).unwrap();
-        self.stream.write_all(&frame).unwrap();
-    }
-
-    /// Reads messages until `is_last` holds for one. Returns all that were read.
-    fn read_until(&mut self, is_last: impl Fn(&Message) -> bool) -> Vec<Message> {
-        let mut messages = Vec::new();
-        let mut buffer = [0; 512];
-        loop {
-            while let Some(message) = self.decoder.next(&self.limits).unwrap() {
-                messages.push(message);
-                if messages.last().is_some_and(&is_last) {
-                    return messages;
-                }
-            }
-            let count = self.stream.read(&mut buffer).unwrap();
-            assert!(count > 0, "the session has ended after {messages:?}");
-            self.decoder.feed(&buffer[..count]);
-        }
-    }
-}
-
 /// Guards against sessions that end because a build from before `ConfigReloaded` can't read it: it is sent only to
 /// processes that have announced that they understand it, and then a reload from before the announcement is told too.
 #[test]
