Clients that are handed over to a successor after LEAVE are moved

What callers saw: LEAVE, then an upgrade before the last move: clients that were handed over stayed on the drained proxy, for 10 s and more.

Cause: the successor starts as left, with admission ended and no schedule of moves, so that an adopted connection has none to be put into. Evidence: the test reads no line for 10 s. Ruled out: moves that are commanded and not done (the engine had no schedule).

Change: an engine that starts as left has a schedule that is due, so that what is handed over is moved at once.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -214,6 +214,8 @@
         self.dispatch_event(Event::Start);
         if self.drain_started_at.is_some() {
             self.set_admission(AdmissionMode::Nothing);
+            // How long ago the proxy left is not known: connections that are handed over are moved at once.
+            self.proxy_drain = Some(MoveSchedule::new(Vec::new(), now, now));
         }
         if self.sources.is_none() {
             return self.apply_list(ListKind::Restored, last_run_servers);
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -215,6 +215,24 @@
     assert!(refusal.contains("in use already"), "{refusal}");
 }
 
+/// Guards against clients that stay on a proxy that operators have drained: the successor was told that the proxy had
+/// left, not that its clients were still to be moved, and kept those that were handed over to it.
+#[test]
+fn clients_handed_over_after_leave_are_moved() {
+    let server = Server::start("s-1");
+    let (discovery, old) = start_managed(&server);
+    let mut clients: Vec<(LineConnection, LineConnection)> =
+        (0..5).map(|_| old.establish_connection(&server)).collect();
+    old.call_expecting_ok("LEAVE");
+    let left_at = Instant::now();
+    let new = old.start_successor(discovery.addr);
+    for (client, _conn) in &mut clients {
+        assert_eq!(client.read_line(), "MOVE");
+        assert_eq!(client.expect_end(), ConnectionEnd::Closed);
+    }
+    assert!(left_at.elapsed() < Duration::from_secs(4), "{}", new.log());
+}
+
 /// The successor of a proxy that has left has left too, until `JOIN`.
 #[test]
 fn a_successor_of_a_proxy_that_left_has_left_too() {
