A connection offered to a silent successor is taken back, relayed and moved

What callers saw: while the new process of an upgrade was held up, no line of the connections on their way to it was relayed, for as long as that lasted, and at the end of the old process their clients were cut off without MOVE.

Cause: a relay waited without a limit for room in the queue to the successor and for its answer, and heeded no command of the engine meanwhile. Evidence: a test that plays the successor; no line within 10 s. Ruled out: a successor that dies, whose offers end with its session (held by a test before).

One place decides whose the connection is: the relay withdraws or the session begins the transfer, whichever comes first. Commands that wait are a type of their own, which both waits use.

--- a/crates/proxy/src/handover/connections.rs
+++ b/crates/proxy/src/handover/connections.rs
@@ -2,6 +2,7 @@
 //! boundary, with no buffered bytes, and offers both sockets. The successor validates the client's first line
 //! as for a new connection and continues the relay. The transfer is invisible to the client and the server.
 
+use std::cell::Cell;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
 
@@ -30,15 +31,75 @@
     pub reply: OfferReply,
 }
 
-/// Reports to the relay that the successor has accepted its connection. When this is dropped unused, the relay
-/// keeps the connection and continues.
-pub struct OfferReply(pub oneshot::Sender<()>);
+/// Who decides next about an offered connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OfferState {
+    /// The relay may withdraw the offer, and the session may begin the transfer.
+    Open,
+    /// The relay has taken the connection back.
+    Withdrawn,
+    /// The session is transferring the connection.
+    Transferring,
+}
+
+/// Creates the two ends of an offer: for the session with the successor, and for the relay.
+pub fn offer_channel() -> (OfferReply, PendingOffer) {
+    let state = Rc::new(Cell::new(OfferState::Open));
+    let (sender, transferred) = oneshot::channel();
+    let reply = OfferReply {
+        state: state.clone(),
+        transferred: sender,
+    };
+    (reply, PendingOffer { state, transferred })
+}
+
+/// The session's end of an offer. When this is dropped unused, the relay keeps the connection and continues.
+pub struct OfferReply {
+    state: Rc<Cell<OfferState>>,
+    transferred: oneshot::Sender<()>,
+}
 
 impl OfferReply {
+    /// Whether the relay has taken the connection back.
+    pub fn is_withdrawn(&self) -> bool {
+        self.state.get() == OfferState::Withdrawn
+    }
+
+    /// Begins the transfer, after which the relay can't withdraw the offer. Returns false if it already has.
+    pub fn begin_transfer(&self) -> bool {
+        let is_open = self.state.get() == OfferState::Open;
+        if is_open {
+            self.state.set(OfferState::Transferring);
+        }
+        is_open
+    }
+
     /// Reports that the connection now belongs to the successor.
     pub fn confirm(self) {
-        // The relay waits until this sender is used or dropped, so the receiver still exists.
-        let _ = self.0.send(());
+        // The relay waits for the end of a transfer that has begun, so the receiver still exists.
+        let _ = self.transferred.send(());
+    }
+}
+
+/// The relay's end of an offer.
+pub struct PendingOffer {
+    state: Rc<Cell<OfferState>>,
+    transferred: oneshot::Receiver<()>,
+}
+
+impl PendingOffer {
+    /// Waits for the end of the offer. Returns whether the connection now belongs to the successor.
+    pub async fn is_transferred(&mut self) -> bool {
+        (&mut self.transferred).await.is_ok()
+    }
+
+    /// Withdraws the offer. Returns false if the transfer has begun.
+    pub fn withdraw(&self) -> bool {
+        let is_open = self.state.get() == OfferState::Open;
+        if is_open {
+            self.state.set(OfferState::Withdrawn);
+        }
+        is_open
     }
 }
 
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -27,7 +27,8 @@
 use violetwind_service::handover::{HandoverState, Message};
 
 use self::connections::AdoptedConnection;
-pub use self::connections::{ConnectionOffer, OfferReply};
+use self::connections::OfferReply;
+pub use self::connections::{ConnectionOffer, offer_channel};
 use self::link::Link;
 use crate::acceptor::SharedState;
 use crate::limits::{Limits, ShutdownSchedule};
@@ -428,6 +429,9 @@
                     self.link.send(&Message::ConfigReloaded, limits).await?;
                 }
                 Some(offer) = self.offers.recv(), if has_capacity => {
+                    if offer.reply.is_withdrawn() {
+                        continue;
+                    }
                     self.message_number += 1;
                     let message = Message::ConnectionOffer(self.message_number, offer.connection);
                     let fds = [offer.fds[0].as_fd(), offer.fds[1].as_fd()];
@@ -545,13 +549,23 @@
             // and the other still has the connection.
             Message::ConnectionAccepted(number) => {
                 if let Some(offer) = self.pending_offers.remove(&number) {
-                    self.link
-                        .send(&Message::ConnectionTransferred(number), limits)
-                        .await?;
-                    offer.confirm();
+                    if offer.begin_transfer() {
+                        self.link
+                            .send(&Message::ConnectionTransferred(number), limits)
+                            .await?;
+                        offer.confirm();
+                    } else {
+                        self.link
+                            .send(&Message::ConnectionDeclined(number), limits)
+                            .await?;
+                    }
                 }
             }
-            Message::ConnectionDeclined(number) => drop(self.pending_offers.remove(&number)),
+            // The successor declines an offer, or the predecessor has withdrawn one that was accepted.
+            Message::ConnectionDeclined(number) => {
+                drop(self.pending_offers.remove(&number));
+                drop(self.adopted.remove(&number));
+            }
             Message::ConnectionTransferred(number) => {
                 if let Some(adopted) = self.adopted.remove(&number) {
                     adopted.start_relay(shared);
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -6,21 +6,25 @@
 //! then knows nothing of the connection, and the client has its `UP`: the relay moves the client itself.
 
 mod direction;
+mod pending_commands;
 
 use std::future::pending;
 use std::io;
+use std::net::Shutdown;
 use std::os::fd::AsFd;
 
+use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::{debug, info, warn};
 use violetwind_balancer::api::{Outcome, Report, ServerId};
 
 use self::direction::{BrokenSide, Direction};
+use self::pending_commands::PendingCommands;
 use crate::acceptor::{ClientConnection, SharedState};
 use crate::attempt::ServerConnection;
-use crate::handover::{ConnectionOffer, OfferReply};
+use crate::handover::{ConnectionOffer, offer_channel};
 use crate::limits::Limits;
 use crate::line_protocol::{self, OpenLine, ServerLine};
 use crate::log_throttle::LogThrottle;
@@ -68,14 +72,9 @@
     unreported_load: Option<f64>,
     /// The load that the server sent last.
     last_load: Option<f64>,
-    /// Set once a move is commanded: from this time on, the move no longer waits for answers to the client's lines.
-    move_deadline: Option<Instant>,
-    /// The move was commanded a second time: it is done at once.
-    move_now: bool,
-    /// The connection is offered to the successor as soon as it is between lines.
-    handover_requested: bool,
-    /// The engine has given the request up and sends no more commands.
-    given_up: bool,
+    pending: PendingCommands,
+    /// The successor may still hold copies of the sockets, of an offer that was withdrawn.
+    offer_withdrawn: bool,
     limits: &'a Limits,
     log_throttle: &'a LogThrottle,
 }
@@ -113,10 +112,8 @@
         outcome: (Outcome::Reset, Report::default()),
         unreported_load: None,
         last_load: state.load,
-        move_deadline: None,
-        move_now: false,
-        handover_requested: false,
-        given_up: false,
+        pending: PendingCommands::default(),
+        offer_withdrawn: false,
         limits,
         log_throttle: &shared.log_throttle,
     };
@@ -131,7 +128,8 @@
     let end = loop {
         match relay.run(server_id, &mut commands, &tracker).await {
             RelayEnd::BetweenLines => {
-                if relay.offer_to_successor(open, server_id, shared).await {
+                let offered = relay.offer_to_successor(open, server_id, &mut commands, shared);
+                if offered.await {
                     debug!("the successor has taken the connection over");
                     return tracker.report_client_left().await;
                 }
@@ -146,8 +144,12 @@
         mut client,
         server,
         outcome,
+        offer_withdrawn,
         ..
     } = relay;
+    if offer_withdrawn {
+        end_shared_socket(&server.stream);
+    }
     match end {
         // Bytes that the client sends meanwhile must not reset the connection before it has read the last line.
         RelayEnd::ServerClosed => {
@@ -178,6 +180,15 @@
             client.linger_close(limits).await;
         }
     }
+    if offer_withdrawn {
+        end_shared_socket(&client.stream);
+    }
+}
+
+/// Ends both directions of a connection of which another process may hold a copy, so that closing it here does not.
+fn end_shared_socket(stream: &TcpStream) {
+    // Fails only if the connection has ended already.
+    let _ = SockRef::from(stream).shutdown(Shutdown::Both);
 }
 
 /// Evaluates a server's line, which is forwarded to the client as well: updates the load or the outcome.
@@ -224,7 +235,11 @@
                     }
                 }
             }
-            if let Some(move_deadline) = self.move_deadline {
+            // A connection on which the server has sent its last line needs no `MOVE`.
+            if self.pending.given_up && self.has_last_line() {
+                return RelayEnd::ServerClosed;
+            }
+            if let Some(move_deadline) = self.pending.move_deadline {
                 let late = move_deadline <= Instant::now();
                 let can_insert_line =
                     self.to_client.complete_bytes > 0 || !self.to_client.written_mid_line;
@@ -232,8 +247,8 @@
                     self.to_client.scanner.is_between_lines(),
                     self.waiting_since,
                 );
-                let overdue =
-                    move_deadline + self.limits.linger_timeout <= Instant::now() || self.move_now;
+                let overdue = move_deadline + self.limits.linger_timeout <= Instant::now()
+                    || self.pending.move_now;
                 if can_insert_line
                     && (overdue || line_complete && (late || waiting_since.is_none()))
                 {
@@ -246,8 +261,11 @@
                     return RelayEnd::ServerBroke;
                 }
             }
-            if self.handover_requested && self.move_deadline.is_none() && self.is_idle() {
-                self.handover_requested = false;
+            if self.pending.handover_requested
+                && self.pending.move_deadline.is_none()
+                && self.is_idle()
+            {
+                self.pending.handover_requested = false;
                 return RelayEnd::BetweenLines;
             }
             server_ended_first |= self.to_client.read_ended && self.client_may_send();
@@ -270,12 +288,12 @@
             let silent_at = since.map(|since| since + self.limits.server_silence_timeout);
             let half_close_end = (self.to_server.write_closed || self.to_client.write_closed)
                 .then(|| last_activity + self.limits.half_close_timeout);
-            let move_at =
-                self.move_deadline
-                    .map(|move_deadline| match move_deadline <= Instant::now() {
-                        true => move_deadline + self.limits.linger_timeout,
-                        false => move_deadline,
-                    });
+            let move_at = self.pending.move_deadline.map(|move_deadline| {
+                match move_deadline <= Instant::now() {
+                    true => move_deadline + self.limits.linger_timeout,
+                    false => move_deadline,
+                }
+            });
             let wake_at = [move_at, silent_at, half_close_end]
                 .into_iter()
                 .flatten()
@@ -283,28 +301,8 @@
             tokio::select! {
                 () = self.to_server.wait_ready(&client.ring, &client.stream, &server.stream) => {}
                 () = self.to_client.wait_ready(&server.ring, &server.stream, &client.stream) => {}
-                command = commands.recv(), if !self.given_up => match command {
-                    // The engine repeats the command when no time is left to wait.
-                    Some(ConnectionCommand::Move) if self.move_deadline.is_some() => self.move_now = true,
-                    Some(ConnectionCommand::Move) => {
-                        self.move_deadline = Some(Instant::now() + self.limits.move_timeout);
-                    }
-                    Some(ConnectionCommand::HandOver) => self.handover_requested = true,
-                    Some(ConnectionCommand::Refuse(_) | ConnectionCommand::Fail) | None => {
-                        debug!(server = server_id, "the request was given up as its connection came up");
-                        self.given_up = true;
-                        if self.has_last_line() {
-                            return RelayEnd::ServerClosed;
-                        }
-                        self.move_deadline = Some(Instant::now());
-                    }
-                    // These commands are for a request whose connection is not up yet.
-                    Some(
-                        ConnectionCommand::Send { .. }
-                        | ConnectionCommand::Cancel
-                        | ConnectionCommand::Recall
-                        | ConnectionCommand::NotYet,
-                    ) => {}
+                () = self.pending.receive(commands, self.limits) => if self.pending.given_up {
+                    debug!(server = server_id, "the request was given up as its connection came up");
                 },
                 () = sleep_until_some(wake_at) => {
                     let now = Instant::now();
@@ -312,7 +310,7 @@
                         info!(server = server_id, "the server does not answer: moving its client");
                         tracker.report_silence(server_id).await;
                         self.waiting_since = None;
-                        self.move_deadline = Some(now);
+                        self.pending.move_deadline = Some(now);
                     } else if half_close_end.is_some_and(|at| at <= now) {
                         return end;
                     }
@@ -342,19 +340,35 @@
     }
 
     /// Offers the connection to the successor and returns whether the successor has accepted it. Nothing is read from
-    /// the connection meanwhile.
+    /// the connection meanwhile, so the offer ends after `transfer_queue_timeout` and `transfer_answer_timeout`, and as
+    /// soon as a move is commanded.
     async fn offer_to_successor(
-        &self,
+        &mut self,
         open: &OpenLine<'_>,
         server_id: ServerId,
+        commands: &mut mpsc::Receiver<ConnectionCommand>,
         shared: &SharedState,
     ) -> bool {
+        let limits = self.limits;
         let Some(successor) = shared.operator_service.successor_sender() else {
             return false;
         };
         // Descriptors are duplicated only once the queue to the successor has room.
-        let Ok(queue_slot) = successor.reserve().await else {
-            return false;
+        let queue_slot = tokio::select! {
+            biased;
+            reserved = successor.reserve() => match reserved {
+                Ok(queue_slot) => queue_slot,
+                Err(_) => return false,
+            },
+            () = self.pending.receive(commands, limits) => {
+                self.pending.handover_requested = true;
+                return false;
+            }
+            () = sleep(limits.transfer_queue_timeout) => {
+                // Lines that have arrived meanwhile are relayed before the next try.
+                self.pending.handover_requested = true;
+                return false;
+            }
         };
         let duplicate = |stream: &TcpStream| stream.as_fd().try_clone_to_owned();
         let (Ok(client), Ok(server)) = (
@@ -368,7 +382,7 @@
             return false;
         };
         let waiting_ms = self.waiting_since.map(|since| since.elapsed().as_millis());
-        let (reply, accepted) = oneshot::channel();
+        let (reply, mut offer) = offer_channel();
         queue_slot.send(ConnectionOffer {
             connection: Connection {
                 first_line: open.to_line(),
@@ -377,9 +391,29 @@
                 unanswered_ms: waiting_ms.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX)),
             },
             fds: [client, server],
-            reply: OfferReply(reply),
+            reply,
         });
-        accepted.await.is_ok()
+        let answer_deadline = Instant::now() + limits.transfer_answer_timeout;
+        while self.pending.move_deadline.is_none() {
+            tokio::select! {
+                biased;
+                is_transferred = offer.is_transferred() => return is_transferred,
+                () = self.pending.receive(commands, limits) => {}
+                () = sleep_until(answer_deadline) => break,
+            }
+        }
+        if !offer.withdraw() {
+            // The transfer has begun: only its end tells whose the connection is.
+            return offer.is_transferred().await;
+        }
+        self.offer_withdrawn = true;
+        if let Some(left_out) = self.log_throttle.try_acquire() {
+            info!(
+                server = server_id,
+                left_out, "the successor has not answered an offer: the connection stays here"
+            );
+        }
+        false
     }
 
     /// Relays the bytes that are ready in both directions. Returns whether anything was read or written.
--- a/crates/proxy/tests/upgrade.rs
+++ b/crates/proxy/tests/upgrade.rs
@@ -162,6 +162,63 @@
     }
 }
 
+/// Guards against clients that are cut off at the end of the old process: a relay that waited for the successor's answer
+/// to its offer heeded no other command, and a successor that is held up answers late.
+#[test]
+fn a_connection_offered_to_a_silent_successor_is_moved_at_the_end() {
+    let server = Server::start("s-1");
+    let (_discovery, mut old) = start_managed(&server);
+    let mut clients: Vec<(LineConnection, LineConnection)> =
+        (0..8).map(|_| old.establish_connection(&server)).collect();
+    let mut successor = PlayedSuccessor::connect(&old);
+    successor.send(&Message::Serving);
+    successor.read_until(|message| matches!(message, Message::ConnectionOffer(..)));
+    // Lines are not held back for as long as the successor is silent.
+    for (client, conn) in &mut clients {
+        client.send_line("SAY on");
+        let sent_at = Instant::now();
+        assert_eq!(conn.read_line(), "SAY on");
+        assert!(sent_at.elapsed() < Duration::from_secs(1));
+        conn.send_line("OK on");
+        assert_eq!(client.read_line(), "OK on");
+    }
+    old.signal("-TERM");
+    for (client, conn) in &mut clients {
+        assert_eq!(client.read_line(), "MOVE");
+        assert_eq!(client.expect_end(), ConnectionEnd::Closed);
+        // The successor has copies of the sockets, which do not keep the connection open.
+        assert_eq!(conn.expect_end(), ConnectionEnd::Closed);
+    }
+    assert!(old.wait_for_exit().success());
+}
+
+/// Guards against a connection that two processes have, or none: the successor answers an offer after the old process has
+/// taken the connection back.
+#[test]
+fn an_offer_that_is_answered_late_leaves_the_connection_with_the_old_process() {
+    let server = Server::start("s-1");
+    let (_discovery, old) = start_managed(&server);
+    let (mut client, mut conn) = old.establish_connection(&server);
+    let mut successor = PlayedSuccessor::connect(&old);
+    successor.send(&Message::Serving);
+    successor.read_until(|message| matches!(message, Message::ConnectionOffer(1, _)));
+    // Once a line is relayed, the offer has been withdrawn.
+    client.send_line("SAY on");
+    assert_eq!(conn.read_line(), "SAY on");
+    successor.send(&Message::ConnectionAccepted(1));
+    let answers = successor.read_until(|message| {
+        matches!(
+            message,
+            Message::ConnectionTransferred(_) | Message::ConnectionDeclined(_)
+        )
+    });
+    assert_eq!(answers.last(), Some(&Message::ConnectionDeclined(1)));
+    conn.send_line("OK on");
+    assert_eq!(client.read_line(), "OK on");
+    drop(successor);
+    assert_relayed(&mut client, &mut conn);
+}
+
 /// A ban or its end that is sent to either process applies to both, before and after the new one serves.
 #[test]
 fn bans_and_leave_apply_to_both_processes() {
--- a/crates/service/src/handover.rs
+++ b/crates/service/src/handover.rs
@@ -38,7 +38,8 @@
     ConnectionOffer(u32, Connection),
     /// The successor can take over the connection.
     ConnectionAccepted(u32),
-    /// The successor can't take over the connection; the old process keeps it.
+    /// The old process keeps the connection: the successor can't take it over, or, from the old process, it has
+    /// withdrawn an offer that the successor answered late.
     ConnectionDeclined(u32),
     /// The connection belongs to the successor from this message on. Until then either process may end, and the other
     /// one has the connection.
