An attempt that comes up at the old address of its server is moved like the others

What callers saw: with a catalogue, a client whose attempt was in flight as its server got another address stayed at the old one until that broke it off.

Cause: the moves off the old address were scheduled once, for the connections that were up as the list arrived. Evidence: a test of the engine, not moved within 62 s. Ruled out: drains, which keep a schedule for later connections.

Change: a connection that comes up is compared with the address that its server has by then.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -727,7 +727,7 @@
     }
 
     /// Records an established connection. Hands it over if a successor serves, and schedules its move if the proxy or
-    /// the server drains.
+    /// the server drains, or if the server's address has changed during the attempt.
     fn mark_connected(&mut self, id: RequestId, server: ServerId) {
         if self.has_successor {
             self.send_command(id, ConnectionCommand::HandOver);
@@ -747,6 +747,10 @@
                 schedule.pending.push(id);
                 self.next_move_step = Some(self.now);
             }
+            let current = self.addresses.get(&server).map(|(_, endpoint)| *endpoint);
+            if connection.address != current {
+                self.move_from_old_address(vec![id]);
+            }
         }
     }
 
@@ -816,11 +820,8 @@
         self.dispatch_event(Event::Servers(kind, entries));
     }
 
-    /// Schedules the moves of a server's connections to its old address after the server was listed at a new one. They
-    /// stay for the catalogue's absence timeout, because the old address may still answer.
+    /// Schedules the moves of a server's connections to its old address after the server was listed at a new one.
     fn schedule_old_address_moves(&mut self, server: ServerId, old: SocketAddr) {
-        let Some(sources) = &self.sources else { return };
-        let wait = Duration::from_millis(sources.absence_timeout());
         let is_at_old_address = |id: &&RequestId| {
             self.connections
                 .get(id)
@@ -832,12 +833,19 @@
             .into_iter()
             .flatten();
         let ids: Vec<RequestId> = ids_at_server.filter(is_at_old_address).copied().collect();
-        if ids.is_empty() {
+        if ids.is_empty() || self.sources.is_none() {
             return;
         }
         let uid = self.addresses.get(&server).map(|(uid, _)| uid);
         info!(uid, %old, connections = ids.len(), "address of a server changed");
-        let start = self.now + wait;
+        self.move_from_old_address(ids);
+    }
+
+    /// Schedules the moves of connections to an address that their server no longer has. They stay for the catalogue's
+    /// absence timeout, because the old address may still answer.
+    fn move_from_old_address(&mut self, ids: Vec<RequestId>) {
+        let Some(sources) = &self.sources else { return };
+        let start = self.now + Duration::from_millis(sources.absence_timeout());
         let end = start + self.limits.drain_span;
         self.old_address_moves
             .push(MoveSchedule::new(ids, start, end));
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -429,6 +429,36 @@
     }));
 }
 
+/// Guards against clients that stay at an address that their server no longer has: an attempt that was in flight as the
+/// address changed, and came up afterwards, was left out of the moves.
+#[test]
+fn an_attempt_that_comes_up_at_the_old_address_of_a_server_is_moved_too() {
+    let mut sim = Simulation::new(3, &["one"]);
+    sim.accepts_attempts = false;
+    (0..30).for_each(|id| sim.send_request(id));
+    let server = sim.server_id(2);
+    let mut pending = sim.clients.iter();
+    let id = *pending
+        .find(|(_, client)| client.attempt_server == Some(server))
+        .expect("an attempt at the server")
+        .0;
+    let mut row = sim.row(2, ReportedStatus::Ready);
+    row.instance.as_mut().unwrap().endpoint.set_port(9999);
+    let list_without_server = sim.snapshot(|n| (n != 2).then_some(ReportedStatus::Ready));
+    sim.send_update("one", list_without_server);
+    sim.advance(ms(200));
+    sim.send_update("one", SourceUpdate::Delta(vec![row]));
+    sim.advance(ms(100));
+    let up_at = sim.now;
+    sim.handle(EngineEvent::ConnectionUp(id, server));
+    sim.advance(ms(59_000));
+    assert_eq!(sim.moved_clients(), 0);
+    sim.advance(ms(3000));
+    let moved_at = sim.clients[&id].moved_at.expect("the client is moved");
+    assert!(moved_at >= up_at + ms(60_000));
+    assert_eq!(sim.moved_clients(), 1);
+}
+
 #[test]
 fn requests_are_served_during_an_hour_without_an_answer_of_the_source() {
     let mut sim = Simulation::new(4, &["one"]);
