Mixed builds: SIGHUP at both processes of an upgrade must not end their session

An old process that ends its session at a message that it can't read takes its clients back, and two processes serve. The check that upgrades between an old and a new build, both ways, sends SIGHUP to both processes now.

--- a/crates/proxy/examples/mixed_builds.rs
+++ b/crates/proxy/examples/mixed_builds.rs
@@ -12,6 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use clap::Parser;
@@ -32,6 +33,8 @@
 const MACHINE_COUNT: usize = 6;
 /// The member whose process is killed; the others are terminated.
 const KILLED: usize = 2;
+/// Time within which both processes of an upgrade have handled SIGHUP and told each other.
+const RELOAD_TIME: Duration = Duration::from_millis(300);
 /// The server that an operator bans; it is in no order.
 const BANNED: &str = "m-5/s";
 
@@ -547,6 +550,11 @@
             .contains("successor")
             .then_some(())
     });
+    // A build that tells the other process of a reload must not end the session of one that can't read that.
+    next.send_signal("-HUP");
+    fleet.send_signal(0, "-HUP");
+    thread::sleep(RELOAD_TIME);
+    assert!(!fleet.log_contains(0, "clients are served here again"));
     assert!(
         fleet
             .terminate_member(0)
--- a/crates/standins/src/fleet_harness.rs
+++ b/crates/standins/src/fleet_harness.rs
@@ -356,11 +356,7 @@
     /// Sends a signal, in the notation of `kill` (`-TERM`), to a member's process.
     pub fn send_signal(&self, at: usize, signal: &str) {
         if let Some(child) = &self.processes[at].child {
-            let status = Command::new("kill")
-                .args([signal, &child.id().to_string()])
-                .status()
-                .unwrap();
-            assert!(status.success(), "kill {signal} {}", node_name(at));
+            send_signal(child, signal);
         }
     }
 
@@ -532,6 +528,19 @@
     pub management_addr: SocketAddr,
 }
 
+impl ExtraProcess {
+    /// Sends a signal in the notation of `kill` (`-HUP`).
+    pub fn send_signal(&self, signal: &str) {
+        send_signal(&self.child, signal);
+    }
+}
+
+fn send_signal(process: &Child, signal: &str) {
+    let pid = process.id().to_string();
+    let status = Command::new("kill").args([signal, &pid]).status().unwrap();
+    assert!(status.success(), "kill {signal} {pid}");
+}
+
 impl Drop for ExtraProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
