A connection that waits for its turn to be handed over is relayed in between

It relays for 0.3 s between two waits of 0.3 s now; both waits of a hand-over together stay under the second for which a line may be held back. The wait for room, the wait for the answer and the decision are a function each, and a comment that was too wide is wrapped.

--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -28,7 +28,7 @@
 
 use self::connections::AdoptedConnection;
 use self::connections::OfferReply;
-pub use self::connections::{ConnectionOffer, offer_channel};
+pub use self::connections::{ConnectionOffer, PendingOffer, offer_channel};
 use self::link::Link;
 use crate::acceptor::SharedState;
 use crate::limits::{Limits, ShutdownSchedule};
@@ -159,8 +159,9 @@
 
 impl Predecessor {
     /// Starts the task that handles messages of the predecessor, including the operators' changes it receives. Once
-    /// this returns, the predecessor is told of operators' changes and reloads of this process. The returned function makes the predecessor stop accepting. Until this process accepts, clients wait in
-    /// the accept queue, so the function returns after `stop_ack_timeout` at the latest, even without a reply.
+    /// this returns, the predecessor is told of operators' changes and reloads of this process. The returned function
+    /// makes the predecessor stop accepting. Until this process accepts, clients wait in the accept queue, so the
+    /// function returns after `stop_ack_timeout` at the latest, even without a reply.
     pub fn start_session(self, context: &Rc<HandoverContext>) -> impl AsyncFnOnce() + use<> {
         let context = context.clone();
         let limits = context.shared.limits.clone();
--- a/crates/proxy/src/limits.rs
+++ b/crates/proxy/src/limits.rs
@@ -138,9 +138,11 @@
     /// The number of connections that are handed over at the same time; their descriptors are duplicated meanwhile.
     pub max_concurrent_transfers: usize,
     /// How long a connection waits for its turn to be offered to the successor, and then for the successor's answer. No
-    /// line is relayed meanwhile, and none may be held back for a second.
+    /// line is relayed meanwhile, and none may be held back for a second. A connection whose turn has not come is relayed
+    /// for `transfer_retry_interval` before it waits again.
     pub transfer_queue_timeout: Duration,
     pub transfer_answer_timeout: Duration,
+    pub transfer_retry_interval: Duration,
 
     pub engine: violetwind_engine::Limits,
 }
@@ -305,8 +307,9 @@
             forward_queue_capacity: 16,
             descriptor_report_interval: ms(50),
             max_concurrent_transfers: 4,
-            transfer_queue_timeout: ms(200),
+            transfer_queue_timeout: ms(300),
             transfer_answer_timeout: ms(500),
+            transfer_retry_interval: ms(300),
             engine: violetwind_engine::Limits {
                 max_queued_events: 1024,
                 max_rows_per_step: 256,
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -24,7 +24,7 @@
 use self::pending_commands::PendingCommands;
 use crate::acceptor::{ClientConnection, SharedState};
 use crate::attempt::ServerConnection;
-use crate::handover::{ConnectionOffer, offer_channel};
+use crate::handover::{ConnectionOffer, PendingOffer, offer_channel};
 use crate::limits::Limits;
 use crate::line_protocol::{self, OpenLine, ServerLine};
 use crate::log_throttle::LogThrottle;
@@ -73,6 +73,8 @@
     /// The load that the server sent last.
     last_load: Option<f64>,
     pending: PendingCommands,
+    /// When the connection may be offered to the successor again.
+    next_offer_at: Option<Instant>,
     /// The successor may still hold copies of the sockets, of an offer that was withdrawn.
     offer_withdrawn: bool,
     limits: &'a Limits,
@@ -113,6 +115,7 @@
         unreported_load: None,
         last_load: state.load,
         pending: PendingCommands::default(),
+        next_offer_at: None,
         offer_withdrawn: false,
         limits,
         log_throttle: &shared.log_throttle,
@@ -261,11 +264,7 @@
                     return RelayEnd::ServerBroke;
                 }
             }
-            if self.pending.handover_requested
-                && self.pending.move_deadline.is_none()
-                && self.is_idle()
-            {
-                self.pending.handover_requested = false;
+            if self.is_offer_due() {
                 return RelayEnd::BetweenLines;
             }
             server_ended_first |= self.to_client.read_ended && self.client_may_send();
@@ -294,7 +293,9 @@
                     false => move_deadline,
                 }
             });
-            let wake_at = [move_at, silent_at, half_close_end]
+            // An offer that is due and not made waits for a line to end.
+            let offer_at = self.next_offer_at.filter(|at| *at > Instant::now());
+            let wake_at = [move_at, silent_at, half_close_end, offer_at]
                 .into_iter()
                 .flatten()
                 .min();
@@ -339,8 +340,16 @@
             && !self.has_last_line()
     }
 
+    /// Whether to offer the connection to the successor now.
+    fn is_offer_due(&self) -> bool {
+        self.pending.handover_requested
+            && self.pending.move_deadline.is_none()
+            && self.next_offer_at.is_none_or(|at| at <= Instant::now())
+            && self.is_idle()
+    }
+
     /// Offers the connection to the successor and returns whether the successor has accepted it. Nothing is read from
-    /// the connection meanwhile, so the offer ends after `transfer_queue_timeout` and `transfer_answer_timeout`, and as
+    /// the connection meanwhile, so this takes `transfer_queue_timeout` and `transfer_answer_timeout` at most, and ends as
     /// soon as a move is commanded.
     async fn offer_to_successor(
         &mut self,
@@ -349,26 +358,13 @@
         commands: &mut mpsc::Receiver<ConnectionCommand>,
         shared: &SharedState,
     ) -> bool {
-        let limits = self.limits;
+        self.pending.handover_requested = false;
         let Some(successor) = shared.operator_service.successor_sender() else {
             return false;
         };
         // Descriptors are duplicated only once the queue to the successor has room.
-        let queue_slot = tokio::select! {
-            biased;
-            reserved = successor.reserve() => match reserved {
-                Ok(queue_slot) => queue_slot,
-                Err(_) => return false,
-            },
-            () = self.pending.receive(commands, limits) => {
-                self.pending.handover_requested = true;
-                return false;
-            }
-            () = sleep(limits.transfer_queue_timeout) => {
-                // Lines that have arrived meanwhile are relayed before the next try.
-                self.pending.handover_requested = true;
-                return false;
-            }
+        let Some(queue_slot) = self.reserve_queue_slot(&successor, commands).await else {
+            return false;
         };
         let duplicate = |stream: &TcpStream| stream.as_fd().try_clone_to_owned();
         let (Ok(client), Ok(server)) = (
@@ -382,7 +378,7 @@
             return false;
         };
         let waiting_ms = self.waiting_since.map(|since| since.elapsed().as_millis());
-        let (reply, mut offer) = offer_channel();
+        let (reply, offer) = offer_channel();
         queue_slot.send(ConnectionOffer {
             connection: Connection {
                 first_line: open.to_line(),
@@ -393,6 +389,39 @@
             fds: [client, server],
             reply,
         });
+        self.wait_for_transfer(offer, server_id, commands).await
+    }
+
+    /// Waits for room in the queue to the successor. If there is none in time, lines are relayed again, and the next
+    /// offer is tried after `transfer_retry_interval`.
+    async fn reserve_queue_slot<'q>(
+        &mut self,
+        successor: &'q mpsc::Sender<ConnectionOffer>,
+        commands: &mut mpsc::Receiver<ConnectionCommand>,
+    ) -> Option<mpsc::Permit<'q, ConnectionOffer>> {
+        let limits = self.limits;
+        tokio::select! {
+            biased;
+            // The session with the successor may have ended.
+            queue_slot = successor.reserve() => return queue_slot.ok(),
+            () = self.pending.receive(commands, limits) => {}
+            () = sleep(limits.transfer_queue_timeout) => {
+                self.next_offer_at = Some(Instant::now() + limits.transfer_retry_interval);
+            }
+        }
+        self.pending.handover_requested = true;
+        None
+    }
+
+    /// Waits for the end of an offer, and withdraws it if the successor does not answer or a move is commanded. Returns
+    /// whether the connection now belongs to the successor.
+    async fn wait_for_transfer(
+        &mut self,
+        mut offer: PendingOffer,
+        server_id: ServerId,
+        commands: &mut mpsc::Receiver<ConnectionCommand>,
+    ) -> bool {
+        let limits = self.limits;
         let answer_deadline = Instant::now() + limits.transfer_answer_timeout;
         while self.pending.move_deadline.is_none() {
             tokio::select! {
