--- a/crates/proxy/tests/common/played_successor.rs
+++ b/crates/proxy/tests/common/played_successor.rs
@@ -2,10 +2,14 @@
 
 use std::io::{Read, Write};
 use std::os::unix::net::UnixStream;
+use std::time::Duration;
 
 use violetwind_service::handover::{self, Message, MessageDecoder};
 
-use super::{Proxy, WAIT_TIMEOUT};
+use super::Proxy;
+
+/// Longest wait for a message of the proxy.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A successor that the test plays.
 pub struct PlayedSuccessor {
@@ -18,7 +22,7 @@
     /// Connects to the proxy and sends the hello.
     pub fn connect(old: &Proxy) -> Self {
         let stream = UnixStream::connect(old.dir().join("violetwind.sock")).unwrap();
-        stream.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
         let mut successor = Self {
             stream,
             decoder: MessageDecoder::default(),
