violetwind hold: the command ends with its lease, whatever the proxy does

Cause: one thread renewed and watched, and looked at the end of the lease only between two calls, each of up to 1.5 s a step and without limit for an answer in pieces. Ruled out: the fleet (without the stop one command runs), and the count of the lease, which began before the call already.

Change: held_command.rs. A thread of its own renews, each call with a deadline; the other watches the command, the lease and signals. Not renewed by the last quarter counts as lost; the group gets SIGKILL a tenth of the lease before its end, and nothing is released while one of the group runs. The same elsewhere: a grant later than its lease, a stop of `violetwind hold` itself, processes left in the group, SIGTERM, SIGINT and SIGHUP to `violetwind hold`.

--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -8,7 +8,7 @@
 use clap_complete::Shell;
 
 use crate::operator_config::{ConfigLayers, OperatorConfig};
-use crate::{catalogue_command, operator_client};
+use crate::{catalogue_command, held_command, operator_client};
 
 /// A balancer for long-lived connections.
 ///
@@ -287,7 +287,7 @@
             }
             Some(Command::Fleet(command)) => CliOutcome::Exit(operator_client::run_fleet(command)),
             Some(Command::Work(command)) => CliOutcome::Exit(operator_client::run_work(command)),
-            Some(Command::Hold(hold)) => CliOutcome::Exit(operator_client::run_hold(&hold)),
+            Some(Command::Hold(hold)) => CliOutcome::Exit(held_command::run_hold(&hold)),
             Some(Command::Completions { shell }) => {
                 let mut command = Self::command();
                 clap_complete::generate(shell, &mut command, "violetwind", &mut std::io::stdout());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod discovery;
 pub mod fleet;
 pub mod handover;
+pub mod held_command;
 pub mod limits;
 pub mod line_protocol;
 pub mod load_classifier;
--- a/crates/proxy/src/operator_client.rs
+++ b/crates/proxy/src/operator_client.rs
@@ -1,37 +1,29 @@
-//! The commands `violetwind fleet`, `work` and `hold`: a client for the operators' address of a proxy.
+//! The client of the operators' address of a proxy, and the commands `violetwind fleet` and `work`, which use it.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::unix::process::{CommandExt, ExitStatusExt};
-use std::process::{Child, Command, ExitCode};
+use std::process::ExitCode;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process_group};
 use serde_json::Value;
 
-use crate::cli::{FleetCommand, HoldArgs, PlanArgs, WorkCommand};
+use crate::cli::{FleetCommand, PlanArgs, WorkCommand};
 
 /// Timeout of each step of a call. A proxy answers within 1 s.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Maximum size of an answer. The largest answer is the state of a whole fleet.
 const MAX_ANSWER_BYTES: u64 = 4 << 20;
 /// Time allowed for a membership change: a new member first has to receive the log and then a vote.
 const MEMBERSHIP_CHANGE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Interval between calls for a duty, while it is held or awaited, and between retries of a membership change.
+/// Interval between retries of a membership change.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Exit code: the duty is not held at the proxy.
-const EXIT_NOT_HELD: u8 = 75;
-/// Exit code: the duty was lost while the command ran.
-const EXIT_LOST: u8 = 76;
 /// Exit code: no proxy answers.
-const EXIT_NO_PROXY: u8 = 69;
-/// Exit code: the command can't be started.
-const EXIT_NO_COMMAND: u8 = 71;
+pub const EXIT_NO_PROXY: u8 = 69;
 
 /// Answer of a proxy, with the text after the status.
-enum Answer {
+pub enum Answer {
     Accepted(String),
     Refused(String),
 }
@@ -39,15 +31,51 @@
 /// Sends one command line to a proxy. Fails when the proxy can't be reached or its answer is malformed.
 fn call(address: SocketAddr, line: &str) -> Result<Answer, String> {
     let exchange = || -> std::io::Result<String> {
-        let mut stream = TcpStream::connect_timeout(&address, CALL_TIMEOUT)?;
-        stream.set_read_timeout(Some(CALL_TIMEOUT))?;
-        stream.set_write_timeout(Some(CALL_TIMEOUT))?;
-        stream.write_all(format!("{line}\n").as_bytes())?;
+        let stream = send_line(address, line, CALL_TIMEOUT)?;
         let mut answer = String::new();
         BufReader::new(stream.take(MAX_ANSWER_BYTES)).read_line(&mut answer)?;
         Ok(answer)
     };
-    let answer = exchange().map_err(|error| format!("{address}: {error}"))?;
+    parse_answer(address, exchange())
+}
+
+/// Sends one command line to a proxy, and takes `timeout` at most for the whole call, however slowly the answer comes.
+///
+/// # Errors
+/// The proxy can't be reached, doesn't answer in time, or its answer is malformed.
+pub fn call_within(address: SocketAddr, line: &str, timeout: Duration) -> Result<Answer, String> {
+    let deadline = Instant::now() + timeout;
+    let exchange = || -> std::io::Result<String> {
+        let mut stream = send_line(address, line, timeout)?;
+        let mut answer = Vec::new();
+        let mut buffer = [0; 4096];
+        while !answer.contains(&b'\n') && (answer.len() as u64) < MAX_ANSWER_BYTES {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+            stream.set_read_timeout(Some(remaining))?;
+            match stream.read(&mut buffer)? {
+                0 => break,
+                length => answer.extend_from_slice(&buffer[..length]),
+            }
+        }
+        Ok(String::from_utf8_lossy(&answer).into_owned())
+    };
+    parse_answer(address, exchange())
+}
+
+/// Connects to a proxy and sends a line; `timeout` applies to each step.
+fn send_line(address: SocketAddr, line: &str, timeout: Duration) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_read_timeout(Some(timeout))?;
+    stream.set_write_timeout(Some(timeout))?;
+    stream.write_all(format!("{line}\n").as_bytes())?;
+    Ok(stream)
+}
+
+fn parse_answer(address: SocketAddr, answer: std::io::Result<String>) -> Result<Answer, String> {
+    let answer = answer.map_err(|error| format!("{address}: {error}"))?;
     let answer = answer.trim_end();
     match answer.split_at_checked(4) {
         Some(("200 ", reply)) => Ok(Answer::Accepted(reply.to_string())),
@@ -328,136 +356,3 @@
     add_section(&view["budgets"], &budgets);
     output
 }
-
-/// The lease of a held duty as last reported: no other program holds the duty before `expires_at`.
-#[derive(Clone, Copy)]
-struct DutyLease {
-    fence: u64,
-    expires_at: Instant,
-}
-
-/// Outcome of a call for a duty. `NotHeld` and `CallFailed` carry the reason.
-enum HoldAnswer {
-    Held(DutyLease),
-    NotHeld(String),
-    CallFailed(String),
-}
-
-/// Claims or renews the hold of a duty under `token`.
-fn request_hold(args: &HoldArgs, token: &str) -> HoldAnswer {
-    // The remaining time counts from before the call, so that the lease is never assumed to last longer than it does.
-    let called_at = Instant::now();
-    match call(
-        args.proxy.address,
-        &format!("FLEET HOLD {} {token}", args.duty),
-    ) {
-        Ok(Answer::Accepted(reply)) => {
-            let lease: Value = serde_json::from_str(&reply).unwrap_or_default();
-            match (lease["fence"].as_u64(), lease["left_ms"].as_u64()) {
-                (Some(fence), Some(remaining_ms)) => HoldAnswer::Held(DutyLease {
-                    fence,
-                    expires_at: called_at + Duration::from_millis(remaining_ms),
-                }),
-                _ => HoldAnswer::CallFailed(format!("\"{reply}\" is no holding")),
-            }
-        }
-        Ok(Answer::Refused(reason)) => HoldAnswer::NotHeld(reason),
-        Err(error) => HoldAnswer::CallFailed(error),
-    }
-}
-
-/// Runs a command while a duty is held at a proxy.
-pub fn run_hold(args: &HoldArgs) -> ExitCode {
-    let token = format!("{:016x}", rand::random::<u64>());
-    let mut reported = false;
-    let lease = loop {
-        let (reason, code) = match request_hold(args, &token) {
-            HoldAnswer::Held(lease) => break lease,
-            HoldAnswer::NotHeld(reason) => (reason, EXIT_NOT_HELD),
-            HoldAnswer::CallFailed(reason) => (reason, EXIT_NO_PROXY),
-        };
-        if !args.wait {
-            eprintln!("violetwind: {}: {reason}", args.duty);
-            return ExitCode::from(code);
-        }
-        if !std::mem::replace(&mut reported, true) {
-            eprintln!("violetwind: {}: {reason}; waiting", args.duty);
-        }
-        sleep(POLL_INTERVAL);
-    };
-    let (program, arguments) = args
-        .command
-        .split_first()
-        .expect("clap requires at least one argument");
-    let child = Command::new(program)
-        .args(arguments)
-        .env("VIOLETWIND_FENCE", lease.fence.to_string())
-        .env("VIOLETWIND_DUTY", &args.duty)
-        .process_group(0)
-        .spawn();
-    let code = match child {
-        Ok(child) => supervise_command(args, &token, lease, child),
-        Err(error) => {
-            eprintln!("violetwind: {program}: {error}");
-            ExitCode::from(EXIT_NO_COMMAND)
-        }
-    };
-    // If the proxy has exited, there is no hold left to release.
-    let _ = call(
-        args.proxy.address,
-        &format!("FLEET DONE {} {token}", args.duty),
-    );
-    code
-}
-
-/// Renews the hold until the command ends. When the duty is lost, or when a call fails and the lease ends within
-/// the grace period, sends SIGTERM to the command's process group. SIGKILL follows after the grace period or at the
-/// end of the lease, whichever comes first.
-fn supervise_command(
-    args: &HoldArgs,
-    token: &str,
-    mut lease: DutyLease,
-    mut child: Child,
-) -> ExitCode {
-    let group = Pid::from_child(&child);
-    let grace = Duration::from_secs_f64(args.grace.clamp(0.0, 3600.0));
-    let fence = lease.fence;
-    let reason = loop {
-        match child.try_wait() {
-            Ok(Some(status)) => {
-                let code = status.code().unwrap_or(128 + status.signal().unwrap_or(0));
-                return ExitCode::from(code as u8);
-            }
-            Ok(None) => {}
-            Err(error) => break error.to_string(),
-        }
-        match request_hold(args, token) {
-            HoldAnswer::Held(renewed) if renewed.fence == fence => {
-                lease.expires_at = lease.expires_at.max(renewed.expires_at)
-            }
-            HoldAnswer::Held(renewed) => break format!("held anew with {}", renewed.fence),
-            HoldAnswer::NotHeld(error) => break error,
-            HoldAnswer::CallFailed(error) if Instant::now() + grace >= lease.expires_at => {
-                break error;
-            }
-            HoldAnswer::CallFailed(_) => {}
-        }
-        sleep(POLL_INTERVAL);
-    };
-    let kill_at = lease.expires_at.min(Instant::now() + grace);
-    eprintln!(
-        "violetwind: {} is lost: {reason}; the command has {:?}",
-        args.duty,
-        kill_at.saturating_duration_since(Instant::now())
-    );
-    let _ = kill_process_group(group, Signal::TERM);
-    while Instant::now() < kill_at {
-        if !matches!(child.try_wait(), Ok(None)) {
-            return ExitCode::from(EXIT_LOST);
-        }
-        sleep(Duration::from_millis(5));
-    }
-    let _ = kill_process_group(group, Signal::KILL);
-    let _ = child.wait();
-    ExitCode::from(EXIT_LOST)
-}
