Fleet: a leader that can't serve itself for a moment does not loop without end

Cause: a member sends while its session has a request to send, and a leader answers itself within the call. "Retry later" took the request off the pending ones, and only renewals and joins waited before the next try; releases of duties, lowered shares and leaves were sent again at once.

Ruled out: operators' calls and requests about work go by the clock already.

Change: a change of the session that was not carried out is asked for again after a hundredth of the lease, whatever the reply; renewals go on meanwhile.

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -19,8 +19,9 @@
     pub renew_interval: Millis,
     /// How long an operator's call waits for the leader's reply.
     pub call_timeout: Millis,
-    /// The delay before a call is sent again whose voter does not lead or can't serve it for the moment.
-    pub call_retry_delay: Millis,
+    /// The delay before a call, or a change of a session, is requested again that the voter that was asked can't serve,
+    /// because it does not lead or for the moment.
+    pub request_retry_delay: Millis,
     /// The delay before a session is requested again that was refused, or whose name is not free yet.
     pub retry_delay: Millis,
     /// How long a member that shuts down waits for its duties to be taken over.
@@ -86,7 +87,7 @@
             max_clock_drift_permille: 10,
             renew_interval: lease_duration / 5,
             call_timeout: lease_duration.min(MAX_CALL_TIMEOUT),
-            call_retry_delay: (lease_duration / 100).max(1),
+            request_retry_delay: (lease_duration / 100).max(1),
             retry_delay: lease_duration / 10,
             handoff_timeout: lease_duration,
             weight: 1,
--- a/crates/fleet/src/member/operators.rs
+++ b/crates/fleet/src/member/operators.rs
@@ -154,7 +154,7 @@
 
     /// Sends a call again soon: its voter does not lead, or can't serve it for the moment.
     pub(super) fn retry_call_soon(&mut self, number: Number) {
-        let retry_at = self.now + self.config.limits.call_retry_delay;
+        let retry_at = self.now + self.config.limits.request_retry_delay;
         if let Some(call) = self.pending_calls.get_mut(&number) {
             call.retry_at = call.retry_at.min(retry_at);
         }
--- a/crates/fleet/src/session_client.rs
+++ b/crates/fleet/src/session_client.rs
@@ -27,6 +27,13 @@
     Leave,
 }
 
+impl RequestKind {
+    /// Whether it changes the session through the log; the others are repeated at intervals.
+    fn is_change(&self) -> bool {
+        !matches!(self, Self::Join | Self::Renew)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Session {
     id: SessionId,
@@ -91,6 +98,8 @@
     last_early_request_at: Millis,
     last_request_number: Number,
     next_request_at: Millis,
+    /// No change is requested before: the last one could not be served.
+    next_change_at: Millis,
     last_tick_at: Millis,
     /// When the session is abandoned if leaving has not completed; `None` while the process does not shut down.
     quit_deadline: Option<Millis>,
@@ -138,6 +147,7 @@
             last_early_request_at: 0,
             last_request_number: 0,
             next_request_at: now,
+            next_change_at: now,
             last_tick_at: now,
             quit_deadline: None,
             leaves_after_drain: false,
@@ -434,7 +444,9 @@
         }
         let is_quitting = self.quit_deadline.is_some();
         let is_unused = |duty: &&Name| !self.operator_holds.contains_key(*duty);
-        let release = self.pending_releases.keys().find(is_unused).cloned();
+        let may_change = now >= self.next_change_at;
+        let unused_release = self.pending_releases.keys().find(is_unused).cloned();
+        let release = unused_release.filter(|_| may_change);
         let session = self.session.clone();
         let reply_timeout = limits.renew_interval / 2;
         let recent = self
@@ -447,10 +459,14 @@
             .iter()
             .filter(|kind| matches!(kind, RequestKind::LowerShare(_)))
             .count();
-        let may_leave =
-            is_quitting && self.operator_holds.is_empty() && self.can_leave(now, limits);
+        let may_leave = may_change
+            && is_quitting
+            && self.operator_holds.is_empty()
+            && self.can_leave(now, limits);
         let share_to_lower = match &session {
-            Some(session) if !session.has_expired && lower_count < MAX_PENDING_LOWERS => {
+            Some(session)
+                if may_change && !session.has_expired && lower_count < MAX_PENDING_LOWERS =>
+            {
                 let is_lower_pending =
                     |budget: &Name| is_pending(&RequestKind::LowerShare(budget.clone()));
                 self.meters
@@ -585,6 +601,11 @@
             return false;
         };
         let (_, sent_at, kind) = self.pending_requests.remove(position).expect("found above");
+        let is_done = matches!(reply, LeaderReply::Done | LeaderReply::ShareLowered(_));
+        if kind.is_change() && !is_done {
+            // A leader replies to itself at once: without a delay it would repeat the request without end.
+            self.next_change_at = now + limits.request_retry_delay;
+        }
         match (kind, reply) {
             (
                 RequestKind::Join,
--- a/crates/fleet/tests/cases.rs
+++ b/crates/fleet/tests/cases.rs
@@ -628,3 +628,111 @@
         );
     }
 }
+
+/// A fleet of one voter that leads it and holds a duty; its log is saved at once unless `is_disk_stalled`.
+struct SingleVoter {
+    member: violetwind_fleet::Member,
+    now: u64,
+    is_disk_stalled: bool,
+    unsaved_records: Vec<violetwind_fleet::Number>,
+    /// Replies to other members.
+    replies: Vec<violetwind_fleet::LeaderReply>,
+}
+
+impl SingleVoter {
+    fn start(limits: Limits) -> Self {
+        use violetwind_consensus::NodeId;
+        use violetwind_fleet::{Config, Member, SavedState};
+        let config = Config {
+            work_enabled: false,
+            node: node_name(0),
+            peers: [(node_name(0), true)].into(),
+            duties: vec!["export".into()],
+            budgets: Vec::new(),
+            external_budgets: Default::default(),
+            limits,
+        };
+        let mut voter = Self {
+            member: Member::new(config, Some(SavedState::new(NodeId(7))), 1, 1000),
+            now: 1000,
+            is_disk_stalled: false,
+            unsaved_records: Vec::new(),
+            replies: Vec::new(),
+        };
+        voter.run_for(5000);
+        assert!(voter.member.held_fence("export", voter.now).is_some());
+        voter
+    }
+
+    fn handle(&mut self, input: violetwind_fleet::Input) {
+        use violetwind_fleet::{Input, Output, PeerMessage};
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for output in self.member.handle(self.now, input) {
+                match output {
+                    Output::SaveRecord(number, _) => self.unsaved_records.push(number),
+                    Output::Send(_, PeerMessage::Reply(_, reply)) => self.replies.push(reply),
+                    _ => {}
+                }
+            }
+            if !self.is_disk_stalled {
+                inputs.extend(self.unsaved_records.drain(..).map(Input::RecordsSaved));
+            }
+        }
+    }
+
+    /// Handles a request of another member.
+    fn request(&mut self, number: u64, request: violetwind_fleet::LeaderRequest) {
+        let message = violetwind_fleet::PeerMessage::Request(number, request);
+        self.handle(violetwind_fleet::Input::PeerMessage(node_name(5), message));
+    }
+
+    fn run_for(&mut self, duration: u64) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.now += 5;
+            self.handle(violetwind_fleet::Input::Tick);
+        }
+    }
+}
+
+/// Guards against an endless loop in a leader that can't serve its own requests for a moment: it answered its own
+/// release of a duty, or its own leave, with "retry later", and sent it again at once, for ever. Here it has as many
+/// requests pending as it may, while its disk is stalled.
+#[test]
+fn a_full_leader_does_not_repeat_its_own_requests_without_end() {
+    use violetwind_fleet::{Input, LeaderRequest};
+    for quits in [true, false] {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let limits = Limits {
+                max_pending_leader_requests: 4,
+                ..Limits::default()
+            };
+            let mut voter = SingleVoter::start(limits);
+            if !quits {
+                // The duty is to be released when the next renewal is answered.
+                let hand_off = FleetAction::HandOffDuty {
+                    duty: "export".into(),
+                    preferred_holder: None,
+                };
+                voter.handle(Input::Call(1, OperatorCall::FleetAction(hand_off)));
+            }
+            voter.is_disk_stalled = true;
+            for number in 0..4 {
+                let lost = FleetAction::DeclareMemberLost { node: node_name(9) };
+                voter.request(number, LeaderRequest::FleetAction(lost));
+            }
+            if quits {
+                voter.handle(Input::Quit);
+            }
+            voter.run_for(1000);
+            sender.send(()).unwrap();
+        });
+        let outcome = receiver.recv_timeout(std::time::Duration::from_secs(20));
+        assert!(
+            outcome.is_ok(),
+            "quits: {quits}: the member does not return"
+        );
+    }
+}
--- a/crates/storm/tests/scripts.rs
+++ b/crates/storm/tests/scripts.rs
@@ -92,7 +92,7 @@
         ("forgetful-proxy", 12, "Empty Means Empty", true),
         (
             "connections-outlive",
-            229,
+            343,
             "Never More Than The Whole",
             false,
         ),
