Fleet: a session whose leave was rejected ends with its lease

Cause: the lease was marked as being ended before the entry was proposed. Where the proposal was rejected nothing took the mark away, and marked leases neither expire nor are renewed. Ruled out: expired leases, which were marked after the entry was accepted already.

Change: the lease is marked once the entry is accepted.

Measured: a_session_whose_leave_was_rejected_ends_with_its_lease: the session was there a second after its lease before, and is not now.

--- a/crates/fleet/src/member/leader.rs
+++ b/crates/fleet/src/member/leader.rs
@@ -161,13 +161,10 @@
                 }
                 let session = *session;
                 Some(match &request {
-                    LeaderRequest::Leave { units_in_use, .. } => {
-                        running.leases.mark_closing(session);
-                        Command::Leave {
-                            session,
-                            units_in_use: units_in_use.clone(),
-                        }
-                    }
+                    LeaderRequest::Leave { units_in_use, .. } => Command::Leave {
+                        session,
+                        units_in_use: units_in_use.clone(),
+                    },
                     _ => Command::BeginLeave { session },
                 })
             }
@@ -218,6 +215,10 @@
         };
         match running.node.propose(command.encode()) {
             Ok((term, index)) => {
+                // Only now: a lease that is marked no longer expires by itself.
+                if let Command::Leave { session, .. } = &command {
+                    running.leases.mark_closing(*session);
+                }
                 let proposal = (term, from, number, request);
                 running.pending_proposals.insert(index, proposal);
             }
--- a/crates/fleet/tests/cases.rs
+++ b/crates/fleet/tests/cases.rs
@@ -736,3 +736,52 @@
         );
     }
 }
+
+/// Guards against a session that stays for ever: a member asked to leave while the leader could take no entries, and
+/// died before it could ask again. Its lease counted as being ended already, so nobody ended it, and its duties stayed
+/// with it.
+#[test]
+fn a_session_whose_leave_was_rejected_ends_with_its_lease() {
+    use violetwind_fleet::{LeaderReply, LeaderRequest};
+    let mut limits = Limits::default();
+    limits.consensus.max_uncommitted_entries = 4;
+    let lease = limits.granted_lease_duration();
+    let mut voter = SingleVoter::start(limits);
+    let join = LeaderRequest::Join {
+        nonce: 11,
+        wanted_duties: Vec::new(),
+        replaced_session: None,
+        incarnation: 11,
+        last_seen_number: 0,
+        weight: 1,
+        budgets: Vec::new(),
+        units_in_use: Vec::new(),
+    };
+    voter.request(1, join);
+    let Some(LeaderReply::Joined { session, .. }) = voter.replies.pop() else {
+        panic!("{:?}", voter.replies);
+    };
+    voter.is_disk_stalled = true;
+    for number in 2..8 {
+        let lost = FleetAction::DeclareMemberLost { node: node_name(9) };
+        voter.request(number, LeaderRequest::FleetAction(lost));
+    }
+    voter.replies.clear();
+    let leave = LeaderRequest::Leave {
+        session,
+        units_in_use: Vec::new(),
+    };
+    voter.request(8, leave);
+    assert!(
+        matches!(&voter.replies[..], [LeaderReply::RetryLater(_)]),
+        "{:?}",
+        voter.replies
+    );
+    voter.is_disk_stalled = false;
+    voter.run_for(lease + 1000);
+    let sessions = voter.member.state().unwrap().sessions();
+    assert!(
+        !sessions.contains_key(&session),
+        "the session has not ended"
+    );
+}
