Held commands: the test of signals gives its programs default actions first

Cause: `violetwind hold` leaves signals alone that it was started to ignore, as the page says; under nohup that is SIGHUP, so the test waited for an end that is not to come. Shown by `trap "" HUP` before the test: it failed so, and passes now. The check is the same; the test sets the actions that it presumes.

--- a/crates/proxy/tests/held_commands.rs
+++ b/crates/proxy/tests/held_commands.rs
@@ -5,10 +5,13 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant, SystemTime};
 
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+
 /// Leases of the fleet that are tested, in milliseconds.
 const LEASES_MS: [u64; 4] = [200, 800, 2000, 10_000];
 
@@ -327,15 +330,25 @@
     assert_eq!(held.process.wait().unwrap().code(), Some(7));
 }
 
+/// Gives the signals their default action in the processes that this one starts, also where this one was started to
+/// ignore them, as by `nohup`: handled signals are reset at the start of a program, ignored ones stay ignored.
+fn reset_signals_of_children() {
+    for signal in [SIGTERM, SIGINT, SIGHUP] {
+        let keeps_default = Arc::new(AtomicBool::new(true));
+        signal_hook::flag::register_conditional_default(signal, keeps_default).unwrap();
+    }
+}
+
 /// Guards against a command that runs on without a lease when `violetwind hold` is told to end.
 #[test]
 fn a_hold_that_is_told_to_end_ends_its_command_and_releases_the_duty() {
+    reset_signals_of_children();
     for (signal, code) in [("-TERM", 143), ("-INT", 130), ("-HUP", 129)] {
         let proxy = PlayedProxy::start(2000, Behavior::Grant);
         let mut held = HeldCommand::start(&proxy, STUBBORN_COMMAND, &["--grace", "0.3"]);
         held.send_signal(signal);
         wait_until("the duty is released", || proxy.is_released());
-        assert_eq!(running_members(held.group().unwrap()), []);
-        assert_eq!(held.process.wait().unwrap().code(), Some(code));
+        assert_eq!(running_members(held.group().unwrap()), [], "{signal}");
+        assert_eq!(held.process.wait().unwrap().code(), Some(code), "{signal}");
     }
 }
