work.rs: the second check that takes a reason at once waits for one lease

Ruled out: a third machine that leaves, of which the view shows nothing.

Change: the check waits for one lease at most, as its twin does, and then looks at what is out as well, which the old one did not.

--- a/crates/proxy/tests/work.rs
+++ b/crates/proxy/tests/work.rs
@@ -321,7 +321,9 @@
         "{output}"
     );
     // Together with m-0 two machines are out, so no further machine leaves.
-    assert!(output.contains("2 of 2 are out"), "{output}");
+    wait_for_reported_reason(&harness, "2 of 2 are out");
+    let view = harness.wait_until("a settled view", WorkOrderHarness::fetch_work_view);
+    assert_eq!(view["out"], json!([first]), "{view}");
     harness.call_until_accepted(2, &format!("ONLINE {first}/s"));
     harness.wait_for_phase(&first, "failed");
     harness.wait_until("the output gives the reason of the failure", |harness| {
