violetwind hold: ends where its command's exit status is not kept

And a grant of more than any lease overflowed the times derived from it.

Cause: an error of try_wait counted as "runs still"; left_ms had no range.

--- a/crates/proxy/src/held_command.rs
+++ b/crates/proxy/src/held_command.rs
@@ -3,7 +3,7 @@
 //! The lease is renewed by a thread of its own, so that a proxy that does not answer can't hold up the end of the lease.
 
 use std::os::unix::process::{CommandExt, ExitStatusExt};
-use std::process::{Child, Command, ExitCode};
+use std::process::{Child, Command, ExitCode, ExitStatus};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
@@ -28,6 +28,8 @@
 const KILL_TIMEOUT_MS: u64 = 1000;
 /// Minimum timeout of a renewal, in milliseconds.
 const MIN_RENEWAL_TIMEOUT_MS: u64 = 50;
+/// The longest lease of a fleet, in milliseconds; no grant lasts longer.
+const MAX_LEASE_MS: u64 = 600_000;
 /// Maximum of `--grace`, in seconds.
 const MAX_GRACE_S: f64 = 3600.0;
 
@@ -35,7 +37,7 @@
 const EXIT_NOT_HELD: u8 = 75;
 /// Exit code: the duty was lost while the command ran.
 const EXIT_LOST: u8 = 76;
-/// Exit code: the command can't be started.
+/// Exit code: the command can't be started, or how it ended is not known.
 const EXIT_NO_COMMAND: u8 = 71;
 
 /// The lease of a held duty as last granted: no other program holds the duty before `expires_at`. Times are in
@@ -100,16 +102,14 @@
             Err(error) => return HoldAnswer::CallFailed(error),
         };
         let lease: Value = serde_json::from_str(&reply).unwrap_or_default();
-        let (Some(fence), Some(remaining_ms)) =
-            (lease["fence"].as_u64(), lease["left_ms"].as_u64())
-        else {
-            return HoldAnswer::CallFailed(format!("\"{reply}\" is no holding"));
-        };
-        HoldAnswer::Held(DutyLease {
-            fence,
-            requested_at,
-            expires_at: requested_at.saturating_add(remaining_ms),
-        })
+        match (lease["fence"].as_u64(), lease["left_ms"].as_u64()) {
+            (Some(fence), Some(remaining_ms @ 0..=MAX_LEASE_MS)) => HoldAnswer::Held(DutyLease {
+                fence,
+                requested_at,
+                expires_at: requested_at + remaining_ms,
+            }),
+            _ => HoldAnswer::CallFailed(format!("\"{reply}\" is no holding")),
+        }
     }
 
     /// Releases the hold. If the proxy has exited, there is none left to release.
@@ -206,13 +206,15 @@
 
     /// The exit code of the command, if it has ended.
     fn exit_code(&mut self) -> Option<u8> {
-        if self.exit_code.is_none()
-            && let Ok(Some(status)) = self.child.try_wait()
-        {
-            let code = status
-                .code()
-                .unwrap_or_else(|| 128 + status.signal().unwrap_or(0));
-            self.exit_code = Some(code as u8);
+        if self.exit_code.is_none() {
+            self.exit_code = match self.child.try_wait() {
+                Ok(status) => status.map(exit_code_of),
+                // The system keeps no status where this process was started to ignore SIGCHLD.
+                Err(error) => {
+                    eprintln!("violetwind: how the command ended is not known: {error}");
+                    Some(EXIT_NO_COMMAND)
+                }
+            };
         }
         self.exit_code
     }
@@ -248,6 +250,12 @@
     }
 }
 
+/// The exit code for the end of a command, as shells give it.
+fn exit_code_of(status: ExitStatus) -> u8 {
+    let code = status.code();
+    code.unwrap_or_else(|| 128 + status.signal().unwrap_or(0)) as u8
+}
+
 /// Why the command is no longer supervised.
 enum SupervisionEnd {
     /// The command has ended, with this exit code.
@@ -311,10 +319,11 @@
     let ignored_signals = ignored_signals();
     for signal in [SIGTERM, SIGINT, SIGHUP] {
         if ignored_signals & (1 << (signal - 1)) == 0 {
-            // Fails only for signals that can't be handled.
             let registered =
                 signal_hook::flag::register_usize(signal, end_signal.clone(), signal as usize);
-            debug_assert!(registered.is_ok());
+            if let Err(error) = registered {
+                eprintln!("violetwind: signal {signal} can't be handled: {error}");
+            }
         }
     }
     end_signal
--- a/crates/proxy/tests/held_commands.rs
+++ b/crates/proxy/tests/held_commands.rs
@@ -330,6 +330,41 @@
     assert_eq!(held.process.wait().unwrap().code(), Some(7));
 }
 
+/// Guards against a hold without end: where `violetwind hold` was started to ignore SIGCHLD, the system does not keep the
+/// exit status of its command, and the command was taken to run on.
+#[test]
+fn a_command_whose_exit_status_is_not_kept_ends_its_hold() {
+    let proxy = PlayedProxy::start(2000, Behavior::Grant);
+    let hold = format!(
+        "trap '' CHLD; exec {} hold export --at {} -- true",
+        env!("CARGO_BIN_EXE_violetwind"),
+        proxy.address
+    );
+    let mut process = Command::new("bash").args(["-c", &hold]).spawn().unwrap();
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    let status = loop {
+        if let Some(status) = process.try_wait().unwrap() {
+            break status;
+        }
+        if Instant::now() >= deadline {
+            process.kill().unwrap();
+            panic!("the hold does not end");
+        }
+        sleep(Duration::from_millis(5));
+    };
+    assert_eq!(status.code(), Some(71));
+    assert!(proxy.is_released());
+}
+
+/// Guards against a grant that is longer than any lease and overflows the times that are derived from it.
+#[test]
+fn a_grant_without_a_plausible_end_runs_no_command() {
+    let proxy = PlayedProxy::start(u64::MAX / 9, Behavior::Grant);
+    let mut held = HeldCommand::spawn(&proxy, "exit 0", &[]);
+    assert_eq!(held.process.wait().unwrap().code(), Some(69));
+    assert_eq!(held.group(), None, "the command was started");
+}
+
 /// Gives the signals their default action in the processes that this one starts, also where this one was started to
 /// ignore them, as by `nohup`: handled signals are reset at the start of a program, ignored ones stay ignored.
 fn reset_signals_of_children() {
