--- a/crates/fleet/src/member/leader.rs
+++ b/crates/fleet/src/member/leader.rs
@@ -2,6 +2,34 @@
 
 use super::*;
 
+impl RunningVoter {
+    /// Whether the same request of the same member and number waits for its reply.
+    fn has_pending_request(&self, from: &Name, number: Number, request: &LeaderRequest) -> bool {
+        let proposed = self
+            .pending_proposals
+            .values()
+            .map(|(_, from, number, request)| (from, *number, request));
+        let unconfirmed = self
+            .pending_confirmations
+            .values()
+            .map(|(from, number, request)| (from, *number, request));
+        let has_request = proposed
+            .chain(unconfirmed)
+            .any(|pending| pending == (from, number, request));
+        let has_membership_job = |node: &Name| {
+            self.membership_jobs
+                .get(node)
+                .is_some_and(|job| job.requester == *from && job.request_number == number)
+        };
+        match request {
+            LeaderRequest::FleetAction(
+                FleetAction::AdmitMember { node } | FleetAction::EvictMember { node },
+            ) => has_request || has_membership_job(node),
+            _ => has_request,
+        }
+    }
+}
+
 impl Member {
     /// Handles a member's request, at once or after it has been committed or the leadership confirmed.
     pub(super) fn handle_request(&mut self, from: Name, number: Number, request: LeaderRequest) {
--- a/crates/fleet/src/member/mod.rs
+++ b/crates/fleet/src/member/mod.rs
@@ -610,35 +610,7 @@
             }
             return;
         }
-        if matches!(
-            reply,
-            LeaderReply::NotLeader(_) | LeaderReply::RetryLater(_)
-        ) {
-            return self.retry_call_soon(number);
-        }
-        let Some(call) = self.pending_calls.remove(&number) else {
-            return;
-        };
-        let answer = match reply {
-            LeaderReply::FleetView(mut view) => {
-                self.fill_local_fields(&mut view);
-                OperatorAnswer::FleetView(view)
-            }
-            LeaderReply::Done => OperatorAnswer::Done,
-            LeaderReply::WorkView(view) => OperatorAnswer::WorkView(view),
-            LeaderReply::Refused(why) => OperatorAnswer::Refused(why),
-            LeaderReply::Joined { .. }
-            | LeaderReply::Renewed { .. }
-            | LeaderReply::JoinOutdated(_)
-            | LeaderReply::ShareLowered(_)
-            | LeaderReply::MachineList { .. }
-            | LeaderReply::CoordinatorUpdate(_)
-            | LeaderReply::ServingStopped
-            | LeaderReply::NotLeader(_)
-            | LeaderReply::RetryLater(_)
-            | LeaderReply::SessionNotFound => OperatorAnswer::Refused("no answer that fits".into()),
-        };
-        self.outputs.push(Output::Answer(call.call_number, answer));
+        self.handle_call_reply(number, reply);
     }
 
     // Shutdown.
--- a/crates/fleet/src/member/operators.rs
+++ b/crates/fleet/src/member/operators.rs
@@ -152,11 +152,35 @@
         }
     }
 
-    /// Sends a call again soon: its voter does not lead, or can't serve it for the moment.
-    pub(super) fn retry_call_soon(&mut self, number: Number) {
+    /// Answers a call with the leader's reply, or sends it again soon if the voter that replied can't serve it.
+    pub(super) fn handle_call_reply(&mut self, number: Number, reply: LeaderReply) {
         let retry_at = self.now + self.config.limits.request_retry_delay;
-        if let Some(call) = self.pending_calls.get_mut(&number) {
-            call.retry_at = call.retry_at.min(retry_at);
+        let Some(call) = self.pending_calls.get_mut(&number) else {
+            return;
+        };
+        let answer = match reply {
+            LeaderReply::NotLeader(_) | LeaderReply::RetryLater(_) => {
+                call.retry_at = call.retry_at.min(retry_at);
+                return;
+            }
+            LeaderReply::FleetView(mut view) => {
+                self.fill_local_fields(&mut view);
+                OperatorAnswer::FleetView(view)
+            }
+            LeaderReply::Done => OperatorAnswer::Done,
+            LeaderReply::WorkView(view) => OperatorAnswer::WorkView(view),
+            LeaderReply::Refused(why) => OperatorAnswer::Refused(why),
+            LeaderReply::Joined { .. }
+            | LeaderReply::Renewed { .. }
+            | LeaderReply::JoinOutdated(_)
+            | LeaderReply::ShareLowered(_)
+            | LeaderReply::MachineList { .. }
+            | LeaderReply::CoordinatorUpdate(_)
+            | LeaderReply::ServingStopped
+            | LeaderReply::SessionNotFound => OperatorAnswer::Refused("no answer that fits".into()),
+        };
+        if let Some(call) = self.pending_calls.remove(&number) {
+            self.outputs.push(Output::Answer(call.call_number, answer));
         }
     }
 
--- a/crates/fleet/tests/operator_calls.rs
+++ b/crates/fleet/tests/operator_calls.rs
@@ -154,6 +154,7 @@
         world.run_for(4000);
         world.delay_range = (60, 75);
         world.run_for(2000);
+        let leader = world.leader();
         let mut calls = Vec::new();
         for index in 0..5 {
             calls.push(world.submit_call(&node_name(index), OperatorCall::FleetView));
@@ -166,6 +167,7 @@
                 "seed {seed}: {answer:?}"
             );
         }
+        assert!(leader.is_some() && leader == world.leader(), "seed {seed}");
         assert_eq!(world.violation, None, "seed {seed}");
     }
 }
@@ -173,7 +175,7 @@
 /// Guards against a retry that ends the call it belongs to: a leader whose disk takes longer than half a renewal
 /// interval took the retry of an eviction for another operator's order, and refused the first one.
 #[test]
-fn a_leader_with_a_slow_disk_carries_out_a_retried_action_once() {
+fn a_retried_action_is_not_refused_as_another_operators() {
     for seed in 0..10 {
         let mut world = World::new(seed, 3, 2);
         world.run_for(4000);
--- a/crates/proxy/tests/unit_operator.rs
+++ b/crates/proxy/tests/unit_operator.rs
@@ -170,3 +170,14 @@
     assert!(problem.contains("fleet.dir"), "{problem}");
     assert!(read("").unwrap().fleet.is_none());
 }
+
+/// Guards against an answer without a reason: the proxy ends an operator's call itself if the fleet has not by then.
+#[test]
+fn a_fleet_ends_an_operators_call_before_the_proxy_does() {
+    let proxy_limits = Limits::new(LimitInputs::default());
+    for lease_ms in [200, 1000, 2000, 600_000] {
+        let fleet_limits = violetwind_fleet::Limits::with_timeouts(lease_ms, lease_ms / 4);
+        let call_timeout = Duration::from_millis(fleet_limits.call_timeout);
+        assert!(call_timeout < proxy_limits.call_answer_timeout);
+    }
+}
