--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -17,6 +17,7 @@
 pub const BROKEN: i32 = 1;
 pub const COULD_NOT_RUN: i32 = 2;
 
+pub const HUP: i32 = 1;
 pub const TERM: i32 = 15;
 pub const KILL: i32 = 9;
 
