--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -163,6 +163,7 @@
 
 struct DiscoveryState {
     rev: u64,
+    down: bool,
     /// Row by uid: revision of the last change, state, and the rest of the row as JSON.
     rows: BTreeMap<String, (u64, String, String)>,
     /// When an answer that tells a server in a state was first written to a caller: by uid and state.
@@ -182,6 +183,7 @@
         let state = Arc::new((
             Mutex::new(DiscoveryState {
                 rev: 1,
+                down: false,
                 rows: BTreeMap::new(),
                 told: BTreeMap::new(),
             }),
@@ -212,6 +214,13 @@
         self.state.1.notify_all();
     }
 
+    /// Takes discovery down: open calls end and new ones are reset. Or brings it back.
+    pub fn set_down(&self, down: bool) {
+        record(format!("discovery is {}", if down { "down" } else { "back" }));
+        self.state.0.lock().unwrap().down = down;
+        self.state.1.notify_all();
+    }
+
     /// When some proxy was first told that the server is in the state.
     pub fn told_at(&self, uid: &str, state: &str) -> Option<u64> {
         let inner = self.state.0.lock().unwrap();
@@ -252,10 +261,13 @@
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(60_000));
         let deadline = Instant::now() + wait;
         let mut inner = shared.0.lock().unwrap();
-        while after.is_some_and(|after| inner.rev <= after) && Instant::now() < deadline {
+        while after.is_some_and(|after| inner.rev <= after) && Instant::now() < deadline && !inner.down {
             let left = deadline.saturating_duration_since(Instant::now());
             inner = shared.1.wait_timeout(inner, left).unwrap().0;
         }
+        if inner.down {
+            return;
+        }
         let rev = inner.rev;
         let rows: Vec<(String, String, String)> = inner
             .rows
@@ -483,6 +495,48 @@
     }
 }
 
+// Relays between peers.
+
+/// Passes connections on to an address, until it is cut: then it drops what comes and resets nothing.
+pub struct Relay {
+    pub addr: SocketAddr,
+    cut: Arc<std::sync::atomic::AtomicBool>,
+}
+
+impl Relay {
+    pub fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("no address for a relay");
+        let addr = listener.local_addr().unwrap();
+        let cut = Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let shared = cut.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let Ok(other) = TcpStream::connect(to) else { continue };
+                for (from, to) in [(&stream, &other), (&other, &stream)] {
+                    let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+                    let (_, shared) = (to.set_nodelay(true), shared.clone());
+                    thread::spawn(move || {
+                        let mut buffer = [0; 16384];
+                        while let Ok(read @ 1..) = from.read(&mut buffer) {
+                            // A cut link says nothing: connections stay open and silent.
+                            if !shared.load(Ordering::Relaxed) && to.write_all(&buffer[..read]).is_err() {
+                                break;
+                            }
+                        }
+                        let _ = to.shutdown(std::net::Shutdown::Both);
+                        let _ = from.shutdown(std::net::Shutdown::Both);
+                    });
+                }
+            }
+        });
+        Self { addr, cut }
+    }
+
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+}
+
 // Processes and operators' calls.
 
 /// Sends one line to a proxy's address for operators and returns its answer.
