--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -324,6 +324,8 @@
     pub uid: String,
     pub addr: SocketAddr,
     visits: Arc<Mutex<Vec<Visit>>>,
+    /// The connections that are open.
+    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Server {
@@ -331,9 +333,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("no address for a server");
         let addr = listener.local_addr().unwrap();
         let visits: Arc<Mutex<Vec<Visit>>> = Arc::default();
-        let (shared, name) = (visits.clone(), uid.to_string());
+        let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+        let (shared, name, open) = (visits.clone(), uid.to_string(), streams.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                open.lock().unwrap().push(stream.try_clone().expect("no clone"));
                 let (shared, name) = (shared.clone(), name.clone());
                 thread::spawn(move || serve_connection(stream, &name, &shared));
             }
@@ -342,6 +346,15 @@
             uid: uid.to_string(),
             addr,
             visits,
+            streams,
+        }
+    }
+
+    /// Ends all open connections, as when the machine is switched off.
+    pub fn stop(&self) {
+        record(format!("{}: stopped", self.uid));
+        for stream in self.streams.lock().unwrap().iter() {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
         }
     }
 
