A proxy whose log can't be written goes on serving

An OFFLINE call ended it too; a list from discovery ended discovery's watch alone, so no drain was heard again; on a full disk it did not start.

Cause: the log library reports a failed write by eprintln!, which panics where standard error can't be written, in whatever task logs first. Its source shows it; 101 is the code of a panic. Ruled out: SIGPIPE (ignored, and the code differs), the shutdown itself (held without the disruption), a log that blocks (the pipe is closed).

Change: the library's reports of its own failed writes are off. A line that can't be written is lost and nothing else is.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -106,6 +106,8 @@
     let log = tracing_subscriber::fmt()
         .with_max_level(level.unwrap_or(operator.log_level))
         .with_writer(io::stderr)
+        // Otherwise a failed write is reported by `eprintln!`, which panics in the task that logs.
+        .log_internal_errors(false)
         .with_ansi(false)
         .with_target(false);
     match operator.log_as_json {
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 mod played_successor;
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -100,7 +100,22 @@
         let mut config = platform_config(addr, discovery);
         change(&mut config);
         let dir = Self::create_config_dir(&config.to_string(), None);
-        Self::spawn(addr, dir, Some(discovery), false, true, Some(rules))
+        Self::spawn(addr, dir, Some(discovery), false, true, Some(rules), None)
+    }
+
+    /// Starts a process with an operators' address whose log goes to `log` in place of this test, without waiting for
+    /// readiness.
+    pub fn launch_with_log(discovery: SocketAddr, log: Stdio, level: &str) -> Self {
+        let addr = unused_addr();
+        let mut config = platform_config(addr, discovery);
+        config["management"] = json!(unused_addr().to_string());
+        disable_load_reports(&mut config);
+        let dir = Self::create_config_dir(&config.to_string(), None);
+        let log = LogTarget {
+            stderr: log,
+            level: level.to_string(),
+        };
+        Self::spawn(addr, dir, Some(discovery), false, true, None, Some(log))
     }
 
     /// Replaces the fault rules. They are in force when this returns.
@@ -144,7 +159,8 @@
         operator_text: Option<&str>,
     ) -> Self {
         let dir = Self::create_config_dir(config, operator_text);
-        Self::spawn(addr, dir, discovery, operator_text.is_some(), true, None)
+        let has_operator_file = operator_text.is_some();
+        Self::spawn(addr, dir, discovery, has_operator_file, true, None, None)
     }
 
     /// Creates a new directory that holds the configuration files of one process.
@@ -164,7 +180,7 @@
     }
 
     /// Starts a process with the configuration files in `dir`. With `removes_dir` dropping the value deletes `dir`;
-    /// `rules` are system call faults.
+    /// `rules` are system call faults. With `log_target` the test does not collect the log.
     fn spawn(
         addr: SocketAddr,
         dir: PathBuf,
@@ -172,6 +188,7 @@
         has_operator_file: bool,
         removes_dir: bool,
         rules: Option<&str>,
+        log_target: Option<LogTarget>,
     ) -> Self {
         let config_path = dir.join("config.json");
         let operator_path = dir.join("operator.toml");
@@ -188,6 +205,11 @@
         if let Some(faults) = &faults {
             faults.preload(&mut command);
         }
+        command.stderr(Stdio::piped());
+        if let Some(target) = log_target {
+            command.stderr(target.stderr);
+            command.env("VIOLETWIND_LOG", target.level);
+        }
         let mut child = command
             .env("NODE_CONFIG", &config_path)
             .env_remove("NODE_LISTEN")
@@ -199,20 +221,13 @@
             .env_remove("VIOLETWIND_CONFIG")
             .envs(has_operator_file.then_some(("VIOLETWIND_CONFIG", &operator_path)))
             .stdin(Stdio::null())
-            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let log = Arc::new((Mutex::new(String::new()), Condvar::new()));
-        let (stderr, collected) = (child.stderr.take().unwrap(), log.clone());
-        thread::spawn(move || {
-            let mut stderr = BufReader::new(stderr);
-            let mut line = String::new();
-            while stderr.read_line(&mut line).unwrap_or(0) > 0 {
-                collected.0.lock().unwrap().push_str(&line);
-                collected.1.notify_all();
-                line.clear();
-            }
-        });
+        if let Some(stderr) = child.stderr.take() {
+            let collected = log.clone();
+            thread::spawn(move || collect_lines(stderr, &collected));
+        }
         Self {
             addr,
             management,
@@ -248,6 +263,7 @@
             false,
             false,
             None,
+            None,
         );
         next.next_client_id.store(
             self.next_client_id.load(Ordering::Relaxed) + (1 << 20),
@@ -452,6 +468,23 @@
     }
 }
 
+/// Where the log of a process goes, and its level.
+struct LogTarget {
+    stderr: Stdio,
+    level: String,
+}
+
+/// Appends each line to the log until the process closes its end.
+fn collect_lines(stderr: impl Read, log: &(Mutex<String>, Condvar)) {
+    let mut stderr = BufReader::new(stderr);
+    let mut line = String::new();
+    while stderr.read_line(&mut line).unwrap_or(0) > 0 {
+        log.0.lock().unwrap().push_str(&line);
+        log.1.notify_all();
+        line.clear();
+    }
+}
+
 impl Pingable for Proxy {
     /// Whether the process answers `PING` with `PONG` now.
     fn answers_ping(&self) -> bool {
