Commands whose messages can't be written end by their own rule

Cause: println! and eprintln! panic where their stream can't be written.

A view whose output is lost ends with 74 in place of 0; changes and verdicts keep their code. The stand-ins, the simulator's host and the library of faults were changed in the same way, without tests of their own.

--- a/crates/catalogue/benches/whole.rs
+++ b/crates/catalogue/benches/whole.rs
@@ -1,6 +1,8 @@
 //! Measures how long the catalogue takes to apply a snapshot of 20,000 servers:
 //! `cargo bench -p violetwind-catalogue`.
 
+#![allow(clippy::print_stdout, reason = "a tool of developers, which may panic")]
+
 use std::time::{Duration, Instant};
 
 use violetwind_catalogue::{Catalogue, Instance, Limits, ReportedStatus, Row, SourceUpdate};
--- a/crates/faults/src/watch.rs
+++ b/crates/faults/src/watch.rs
@@ -1,6 +1,7 @@
 //! Polls the control file on a separate thread, which starts when the library is loaded.
 
-use std::path::PathBuf;
+use std::io::Write;
+use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::Duration;
 
@@ -37,7 +38,7 @@
         return;
     }
     let Some(new_rules) = rules::parse(&text) else {
-        eprintln!("faults: {}: not understood", path.display());
+        report(path, "not understood");
         std::process::abort();
     };
     rules::install(new_rules);
@@ -47,7 +48,13 @@
     let result = std::fs::write(&temporary, first_line)
         .and_then(|()| std::fs::rename(&temporary, confirmation));
     if let Err(error) = result {
-        eprintln!("faults: {}: {error}", path.display());
+        report(path, &error.to_string());
     }
     *installed_text = Some(text);
 }
+
+/// Writes a line about the file to standard error. `eprintln!` would panic where that can't be written.
+fn report(path: &Path, problem: &str) {
+    let line = format!("faults: {}: {problem}\n", path.display());
+    let _ = std::io::stderr().lock().write_all(line.as_bytes());
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
+use violetwind_output::print_line;
 use violetwind_standins::consul::{Check, Consul, Instance, Maintenance};
 use violetwind_standins::echo_server::{EchoServer, Fault};
 use violetwind_standins::unused_addr;
@@ -235,7 +236,7 @@
     };
     let print_step = |what: &str| {
         if options.print_progress {
-            println!("{:5.1} s  {what}", start.elapsed().as_secs_f64());
+            print_line!("{:5.1} s  {what}", start.elapsed().as_secs_f64());
         }
     };
     let count_harmed =
@@ -276,7 +277,7 @@
         .iter()
         .map(|server| format!("{:3}", server.open_connections()))
         .collect();
-    println!(
+    print_line!(
         "{:5.1} s  up {:4}  asked {:5}  refused {:4}  failed {:3}  moved {:4}  cut {:3}  lost {}  servers {}",
         start.elapsed().as_secs_f64(),
         get(&counters.connected),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -18,6 +18,9 @@
 use violetwind_lab::soak::{SoakArgs, run_soak};
 use violetwind_lab::stats::Estimate;
 use violetwind_lab::{storm, storm_processes};
+use violetwind_output::{
+    parse_arguments, print_error, print_line, print_text, with_output_checked,
+};
 use violetwind_storm::fleet::InjectedBug;
 use violetwind_storm::script::{Script, ScriptParameters};
 
@@ -231,16 +234,16 @@
         };
         let is_valid = |times: f64| times.is_finite() && times > 0.0 && times <= 1000.0;
         if !is_valid(self.replay_times) || !is_valid(self.replay_rate) {
-            eprintln!("--replay-times and --replay-rate: expected a number above 0, up to 1000");
+            print_error!("--replay-times and --replay-rate: expected a number above 0, up to 1000");
             return Err(ExitCode::FAILURE);
         }
         let name = path.display();
         let file = std::fs::File::open(path).map_err(|error| {
-            eprintln!("{name}: {error}");
+            print_error!("{name}: {error}");
             ExitCode::FAILURE
         })?;
         let recording = Recording::read(std::io::BufReader::new(file), &scenario);
-        eprintln!(
+        print_error!(
             "{name}: {} clients, {} repeats of refused ones, {} left out when recorded, end: {:?}",
             recording.clients.len(),
             recording.repeats,
@@ -248,12 +251,12 @@
             recording.end
         );
         for (class, requests) in &recording.unknown_classes {
-            eprintln!(
+            print_error!(
                 "{name}: the scenario has no class `{class}`: {requests} requests passed over"
             );
         }
         if recording.clients.is_empty() {
-            eprintln!("{name}: nothing to play");
+            print_error!("{name}: nothing to play");
             return Err(ExitCode::FAILURE);
         }
         let clients = recording.scaled(self.replay_times, self.replay_rate, 1);
@@ -269,11 +272,13 @@
 fn load_scenario(path: &PathBuf, set: &[String]) -> Result<Scenario, ExitCode> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path).map_err(|error| {
-        eprintln!("{name}: {error}");
+        print_error!("{name}: {error}");
         ExitCode::FAILURE
     })?;
     Scenario::parse(&name, &text, set).map_err(|problems| {
-        problems.iter().for_each(|problem| eprintln!("{problem}"));
+        problems
+            .iter()
+            .for_each(|problem| print_error!("{problem}"));
         ExitCode::FAILURE
     })
 }
@@ -290,8 +295,12 @@
 }
 
 fn main() -> ExitCode {
-    match execute(Cli::parse().command.unwrap_or_else(Command::default_fleet)) {
-        Ok(code) | Err(code) => code,
+    let cli: Cli = match parse_arguments() {
+        Ok(cli) => cli,
+        Err(code) => return code,
+    };
+    match execute(cli.command.unwrap_or_else(Command::default_fleet)) {
+        Ok(code) | Err(code) => with_output_checked(code),
     }
 }
 
@@ -346,10 +355,10 @@
                 print_progress: true,
             };
             let report = fleet::run_fleet(&options).map_err(|error| {
-                eprintln!("{error}");
+                print_error!("{error}");
                 ExitCode::FAILURE
             })?;
-            println!("{report:#?}");
+            print_line!("{report:#?}");
             Ok(match report.passed() {
                 true => ExitCode::SUCCESS,
                 false => ExitCode::FAILURE,
@@ -362,10 +371,10 @@
         } => {
             let base = common.read_scenario(&[])?;
             let Some(found) = search_scenarios(&base, policy, common.seeds, most) else {
-                println!("nothing in {most} scenarios");
+                print_line!("nothing in {most} scenarios");
                 return Ok(ExitCode::SUCCESS);
             };
-            println!(
+            print_line!(
                 "# {:?}, policy {}, seed {}: found after {} scenarios, shrunk {} times",
                 found.target,
                 policy.name(),
@@ -373,7 +382,7 @@
                 found.scenarios_tried,
                 found.shrink_steps
             );
-            print!("{}", found.scenario.to_toml());
+            print_text!("{}", found.scenario.to_toml());
             Ok(match found.target {
                 SearchTarget::Broken(_) => ExitCode::FAILURE,
                 SearchTarget::Loss(_) => ExitCode::SUCCESS,
@@ -413,7 +422,7 @@
                 fault_duration: (seconds.clamp(0.1, 1e6) * 1e3) as u64,
             };
             let report_error = |message: String| {
-                eprintln!("{message}");
+                print_error!("{message}");
                 ExitCode::FAILURE
             };
             let script = match &script {
@@ -437,7 +446,7 @@
                 let script = script.unwrap_or_else(|| Script::generate(first, parameters));
                 let program = proxy_program(proxy);
                 let result = storm_processes::run_on_processes(&script, &program);
-                println!("{result:#?}");
+                print_line!("{result:#?}");
                 return Ok(if result.wrong.is_empty() {
                     ExitCode::SUCCESS
                 } else {
@@ -450,7 +459,7 @@
                         .map_err(|error| report_error(format!("{}: {error}", page.display())))?,
                     None => script.run(injected_bug, 0).violation,
                 };
-                println!("{}", violation.as_deref().unwrap_or("no promise broken"));
+                print_line!("{}", violation.as_deref().unwrap_or("no promise broken"));
                 return Ok(if violation.is_some() {
                     ExitCode::FAILURE
                 } else {
@@ -476,9 +485,9 @@
             let members = (parameters.voters + parameters.non_voters) as f64;
             let elapsed = start.elapsed().as_secs_f64();
             if json {
-                println!("{:#}", campaign.to_json());
+                print_line!("{:#}", campaign.to_json());
             } else {
-                println!(
+                print_line!(
                     "{} seeds, {} simulated s, {} faults, {} times a leader, {} duties gained, {} frames, {} machines worked on, \
                      {} units taken; {} seeds broke a promise; {elapsed:.1} s, {:.0} node-seconds a second",
                     campaign.seed_count,
@@ -495,7 +504,7 @@
             }
             for finding in &campaign.findings {
                 let seed = finding.original.seed;
-                eprintln!(
+                print_error!(
                     "seed {seed}: {}; {} of {} faults are left after {} plays",
                     finding.violation,
                     finding.minimised.faults.len(),
@@ -527,14 +536,14 @@
                 let variant = Variant { scenario, policy };
                 let outcomes =
                     run_variants(&[variant], &common.seeds(), thread_count(common.threads));
-                print!("{key} = {value:<10}");
+                print_text!("{key} = {value:<10}");
                 for (metric, name) in SERVICE_METRICS.iter().enumerate() {
-                    print!(
+                    print_text!(
                         "  {name} {}",
                         format_estimate(&estimate(&outcomes[0], metric))
                     );
                 }
-                println!();
+                print_line!("");
             }
             Ok(ExitCode::SUCCESS)
         }
@@ -583,7 +592,7 @@
     if let Some(path) = report
         && let Err(error) = write_report(path, scenario, policy, &outcomes)
     {
-        eprintln!("{}: {error}", path.display());
+        print_error!("{}: {error}", path.display());
         return ExitCode::FAILURE;
     }
     let breaches: usize = policy_outcomes
@@ -592,9 +601,9 @@
         .sum();
     let mean_service = |variant: usize, metric| estimate(&outcomes[variant], metric).mean;
     if common.json {
-        println!("{:#}", summary(scenario, policy, &outcomes));
+        print_line!("{:#}", summary(scenario, policy, &outcomes));
     } else {
-        println!(
+        print_line!(
             "{}: {} proxies, {} servers, {:.0} s, {} seeds, three policies in {elapsed:.1} s",
             scenario.name,
             scenario.proxies,
@@ -602,7 +611,7 @@
             scenario.seconds,
             policy_outcomes.len()
         );
-        println!(
+        print_line!(
             "{:<12} {:<20} {:>8} {:>8} {:>8}",
             "service",
             policy.name(),
@@ -615,9 +624,9 @@
             let (random, bound) = (mean_service(1, n), mean_service(2, n));
             let score = score(estimate.mean, random, bound);
             let service = format_estimate(&estimate);
-            println!("{name:<12} {service:<20} {score:>8.3} {random:>8.4} {bound:>8.4}");
+            print_line!("{name:<12} {service:<20} {score:>8.3} {random:>8.4} {bound:>8.4}");
         }
-        println!(
+        print_line!(
             "a run: {:.0} clients, {:.0} requests, {:.0} refused, {:.0} failed, {:.0} moves, \
              {:.0} probes, set-up p50 {:.1} ms p99 {:.1} ms, spread of loads {:.3}",
             mean(policy_outcomes, |o| o.clients as f64),
@@ -646,7 +655,7 @@
                     .sum::<f64>()
                     / work_outcomes.len().max(1) as f64
             };
-            println!(
+            print_line!(
                 "work: ended in {} of {} runs after {:.1} s, {:.1} machines done, {:.1} out at most, {:.0} clients moved; \
                  a cold server was asked for {:.2} times what it could do at most",
                 durations.len(),
@@ -664,16 +673,18 @@
     }
     for (seed, outcome) in common.seeds().iter().zip(policy_outcomes) {
         for breach in outcome.breaches.iter().take(3) {
-            eprintln!(
+            print_error!(
                 "seed {seed}, {:.2} s, {:?}: {}",
-                breach.at, breach.rule, breach.what
+                breach.at,
+                breach.rule,
+                breach.what
             );
         }
     }
     match breaches {
         0 => ExitCode::SUCCESS,
         _ => {
-            eprintln!("{breaches} broken rules");
+            print_error!("{breaches} broken rules");
             ExitCode::FAILURE
         }
     }
@@ -747,14 +758,14 @@
                        "half": difference.half, "seeds_needed": difference.seeds_needed(precision)})
             })
             .collect();
-        println!(
+        print_line!(
             "{:#}",
             json!({"seeds": comparison.seed_count, "figures": rows})
         );
         return;
     }
-    println!("{} seeds, the same for both", comparison.seed_count);
-    println!("{:<12} {:>9} {:>9}  difference of b", "service", "a", "b");
+    print_line!("{} seeds, the same for both", comparison.seed_count);
+    print_line!("{:<12} {:>9} {:>9}  difference of b", "service", "a", "b");
     for (n, name) in SERVICE_METRICS.iter().enumerate() {
         let difference = comparison.difference[n];
         let [first, second] = [0, 1].map(|variant| comparison.estimates[variant][n].mean);
@@ -768,12 +779,12 @@
                 difference.seeds_needed(difference.mean.abs())
             ),
         };
-        println!(
+        print_line!(
             "{name:<12} {first:>9.4} {second:>9.4}  {}  {verdict}",
             format_estimate(&difference)
         );
     }
-    println!(
+    print_line!(
         "moves a run {:.0} and {:.0}, broken rules {} and {}",
         comparison.mean_moves[0],
         comparison.mean_moves[1],
--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use clap::Args;
+use violetwind_output::print_line;
 use violetwind_standins::soak::Script;
 use violetwind_standins::soak::runner::{Report, run_script};
 
@@ -40,7 +41,7 @@
     let duration = Duration::from_secs_f64(args.seconds.clamp(1.0, 3600.0));
     let seeds = args.seed..args.seed + args.seeds;
     if args.show {
-        seeds.for_each(|seed| println!("{:#?}", Script::from_seed(seed, duration)));
+        seeds.for_each(|seed| print_line!("{:#?}", Script::from_seed(seed, duration)));
         return true;
     }
     let default_logs =
@@ -58,7 +59,7 @@
                             return reports;
                         }
                         let report = run_script(program, &logs, &Script::from_seed(seed, duration));
-                        println!("{}", summary_line(&report));
+                        print_line!("{}", summary_line(&report));
                         reports.push(report);
                     }
                 })
@@ -76,12 +77,12 @@
         .collect();
     for report in &failed {
         for violation in &report.violations {
-            println!("seed {}: {violation}", report.seed);
+            print_line!("seed {}: {violation}", report.seed);
         }
-        println!("seed {}: log {}", report.seed, report.log.display());
+        print_line!("seed {}: log {}", report.seed, report.log.display());
     }
     let request_count: usize = reports.iter().map(|report| report.request_count).sum();
-    println!(
+    print_line!(
         "{} seeds, {request_count} requests, {} seeds with violations",
         reports.len(),
         failed.len()
--- a/crates/lab/src/storm_processes.rs
+++ b/crates/lab/src/storm_processes.rs
@@ -7,6 +7,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use violetwind_output::print_error;
 use violetwind_standins::budget_workload::{BudgetWorkload, WorkloadSpec};
 use violetwind_standins::duty_history;
 use violetwind_standins::fleet_harness::count_live_members;
@@ -327,7 +328,7 @@
         let path = std::env::temp_dir().join(format!("violetwind-storm-{}.log", script.seed));
         let written = std::fs::write(&path, harness.fleet.merged_log());
         let path = path.display();
-        eprintln!(
+        print_error!(
             "the proxies' logs: {path}{}",
             if written.is_err() {
                 ", not written"
--- a/crates/proxy/benches/duties.rs
+++ b/crates/proxy/benches/duties.rs
@@ -1,6 +1,8 @@
 //! Costs of a fleet, measured with real processes on loopback: `cargo bench -p violetwind --bench duties`. The figures
 //! depend on the machine and its load; compare only figures of the same run.
 
+#![allow(clippy::print_stdout, reason = "a tool of developers, which may panic")]
+
 use std::net::SocketAddr;
 use std::os::unix::fs::PermissionsExt as _;
 use std::path::{Path, PathBuf};
--- a/crates/proxy/benches/sources.rs
+++ b/crates/proxy/benches/sources.rs
@@ -6,6 +6,8 @@
 //! - `scale [INSTANCES] [CHANGES] [SECONDS]`: processor time and memory at CHANGES changes a second.
 //! - `effect [INSTANCES] [TIMES]`: time from a drain in the stand-in for Consul to the client's `MOVE`.
 
+#![allow(clippy::print_stdout, reason = "a tool of developers, which may panic")]
+
 #[path = "../tests/common/mod.rs"]
 mod common;
 
--- a/crates/proxy/benches/work.rs
+++ b/crates/proxy/benches/work.rs
@@ -2,6 +2,8 @@
 //! batches, and as planned by the fleet. `cargo bench -p violetwind --bench work -- 12 3`: the number of machines, and
 //! the maximum number of machines out at the same time.
 
+#![allow(clippy::print_stdout, reason = "a tool of developers, which may panic")]
+
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
--- a/crates/proxy/examples/mixed_builds.rs
+++ b/crates/proxy/examples/mixed_builds.rs
@@ -6,6 +6,12 @@
 //! Prints one line per check, `ok NAME` or `FAILED NAME: REASON`; the exit code is 1 after any failure. The logs of the
 //! processes in a failed check are written to standard error.
 
+#![allow(
+    clippy::print_stdout,
+    clippy::print_stderr,
+    reason = "a tool of developers, which may panic"
+)]
+
 use std::collections::BTreeSet;
 use std::fs::{self, File};
 use std::panic::{self, AssertUnwindSafe};
--- a/crates/proxy/src/catalogue_command.rs
+++ b/crates/proxy/src/catalogue_command.rs
@@ -7,6 +7,7 @@
 
 use serde_json::{Value, json};
 use violetwind_catalogue::{Catalogue, ServerView, SourceId, SourceUpdate};
+use violetwind_output::{print_error, print_line, with_output_checked};
 
 use crate::config::Config;
 use crate::discovery;
@@ -22,17 +23,20 @@
     fault: Option<String>,
 }
 
-/// Queries all sources and prints the catalogue. The exit code is 0 if every source answered, else 1.
+/// Queries all sources and prints the catalogue. The exit code is 0 if every source answered, else 1; 74 if every source
+/// answered but the catalogue could not be written.
 pub fn run_catalogue(layers: &ConfigLayers, as_json: bool) -> ExitCode {
     let config = match layers.load() {
         Ok(config) => config,
         Err(problems) => {
-            problems.iter().for_each(|problem| eprintln!("{problem}"));
+            problems
+                .iter()
+                .for_each(|problem| print_error!("{problem}"));
             return ExitCode::FAILURE;
         }
     };
     if config.sources.is_empty() {
-        eprintln!("the file has no [[source]]");
+        print_error!("the file has no [[source]]");
         return ExitCode::FAILURE;
     }
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -41,7 +45,7 @@
     let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
-            eprintln!("violetwind: {error}");
+            print_error!("violetwind: {error}");
             return ExitCode::FAILURE;
         }
     };
@@ -49,13 +53,13 @@
     let (catalogue, results) = build_catalogue(&config, results);
     let all_answered = results.iter().all(|result| result.outcome.is_ok());
     match as_json {
-        true => println!("{:#}", to_json(&catalogue, &results)),
+        true => print_line!("{:#}", to_json(&catalogue, &results)),
         false => print_tables(&catalogue, &results),
     }
-    match all_answered {
+    with_output_checked(match all_answered {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
-    }
+    })
 }
 
 async fn query_sources(config: &OperatorConfig) -> Vec<SourceResult> {
@@ -160,14 +164,17 @@
 
 fn print_tables(catalogue: &Catalogue, results: &[SourceResult]) {
     for result in results {
-        println!("source {}: {}", result.name, describe_outcome(result));
+        print_line!("source {}: {}", result.name, describe_outcome(result));
         if let Some(fault) = &result.fault {
-            println!("  rows that make no sense, the first: {fault}");
+            print_line!("  rows that make no sense, the first: {fault}");
         }
     }
-    println!(
+    print_line!(
         "{:<28} {:<22} {:<10} {:<40} said",
-        "server", "address", "believed", "why"
+        "server",
+        "address",
+        "believed",
+        "why"
     );
     for server in catalogue.servers() {
         let reports = reports_of(results, &server);
@@ -175,7 +182,7 @@
             .iter()
             .map(|(source, status)| format!("{source}: {status}"))
             .collect();
-        println!(
+        print_line!(
             "{:<28} {:<22} {:<10} {:<40} {}",
             server.uid,
             server.instance.endpoint.to_string(),
--- a/crates/proxy/src/cli.rs
+++ b/crates/proxy/src/cli.rs
@@ -6,6 +6,7 @@
 
 use clap::{Args, CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
+use violetwind_output::{print_line, print_text, with_output_checked};
 
 use crate::operator_config::{ConfigLayers, OperatorConfig};
 use crate::{catalogue_command, held_command, operator_client};
@@ -268,7 +269,7 @@
                 CliOutcome::Exit(match layers.load() {
                     Ok(config) => report_valid_config(&file, &config),
                     Err(problems) => {
-                        problems.iter().for_each(|problem| println!("{problem}"));
+                        problems.iter().for_each(|problem| print_line!("{problem}"));
                         ExitCode::FAILURE
                     }
                 })
@@ -289,9 +290,11 @@
             Some(Command::Work(command)) => CliOutcome::Exit(operator_client::run_work(command)),
             Some(Command::Hold(hold)) => CliOutcome::Exit(held_command::run_hold(&hold)),
             Some(Command::Completions { shell }) => {
+                let mut script = Vec::new();
                 let mut command = Self::command();
-                clap_complete::generate(shell, &mut command, "violetwind", &mut std::io::stdout());
-                CliOutcome::Exit(ExitCode::SUCCESS)
+                clap_complete::generate(shell, &mut command, "violetwind", &mut script);
+                print_text!("{}", String::from_utf8_lossy(&script));
+                CliOutcome::Exit(with_output_checked(ExitCode::SUCCESS))
             }
         }
     }
@@ -306,18 +309,18 @@
             .filter(|node| !node.is_empty());
         match node.as_deref().map(|node| fleet.check_node(node)) {
             Some(Err(problem)) => {
-                println!("{name}: {problem}");
+                print_line!("{name}: {problem}");
                 return ExitCode::FAILURE;
             }
             Some(Ok(())) => {}
-            None => println!(
+            None => print_line!(
                 "{name}: warning: without NODE_NAME its own place among the peers is not checked"
             ),
         }
         for warning in &fleet.warnings {
-            println!("{name}: warning: {warning}");
+            print_line!("{name}: warning: {warning}");
         }
-        println!(
+        print_line!(
             "{name}: fleet \"{}\", {} peers of whom {} vote, {} duties",
             fleet.name,
             fleet.peers.len(),
@@ -325,6 +328,6 @@
             fleet.duties.len()
         );
     }
-    println!("{name}: sound, {} sources", config.sources.len());
+    print_line!("{name}: sound, {} sources", config.sources.len());
     ExitCode::SUCCESS
 }
--- a/crates/proxy/src/held_command.rs
+++ b/crates/proxy/src/held_command.rs
@@ -13,6 +13,7 @@
 use rustix::process::{Pid, Signal, kill_process_group, test_kill_process_group};
 use serde_json::Value;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use violetwind_output::print_error;
 
 use crate::cli::HoldArgs;
 use crate::fleet::boottime_ms;
@@ -211,7 +212,7 @@
                 Ok(status) => status.map(exit_code_of),
                 // The system keeps no status where this process was started to ignore SIGCHLD.
                 Err(error) => {
-                    eprintln!("violetwind: how the command ended is not known: {error}");
+                    print_error!("violetwind: how the command ended is not known: {error}");
                     Some(EXIT_NO_COMMAND)
                 }
             };
@@ -281,7 +282,7 @@
     let code = match CommandGroup::spawn(args, &lease) {
         Ok(command) => supervise_command(args, &client, lease, command, &end_signal),
         Err(error) => {
-            eprintln!("violetwind: {}: {error}", args.command[0]);
+            print_error!("violetwind: {}: {error}", args.command[0]);
             EXIT_NO_COMMAND
         }
     };
@@ -303,11 +304,11 @@
             HoldAnswer::CallFailed(reason) => (reason, EXIT_NO_PROXY),
         };
         if !args.wait {
-            eprintln!("violetwind: {}: {reason}", args.duty);
+            print_error!("violetwind: {}: {reason}", args.duty);
             return Err(ExitCode::from(code));
         }
         if !std::mem::replace(&mut reported, true) {
-            eprintln!("violetwind: {}: {reason}; waiting", args.duty);
+            print_error!("violetwind: {}: {reason}; waiting", args.duty);
         }
         sleep(RENEWAL_INTERVAL);
     }
@@ -322,7 +323,7 @@
             let registered =
                 signal_hook::flag::register_usize(signal, end_signal.clone(), signal as usize);
             if let Err(error) = registered {
-                eprintln!("violetwind: signal {signal} can't be handled: {error}");
+                print_error!("violetwind: signal {signal} can't be handled: {error}");
             }
         }
     }
@@ -354,7 +355,7 @@
     let now = boottime_ms();
     let kill_at = lease.kill_at().min(now + grace_ms);
     if let SupervisionEnd::Lost(reason) = &end {
-        eprintln!(
+        print_error!(
             "violetwind: {} is lost: {reason}; the command has {:?}",
             args.duty,
             Duration::from_millis(kill_at.saturating_sub(now))
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -41,12 +41,12 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use clap::Parser;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tracing::{info, warn};
 use violetwind_engine::{Clock, Engine, EngineConfig};
 use violetwind_net::retry_on_exhaustion;
+use violetwind_output::{parse_arguments, print_error};
 use violetwind_record::Recorder;
 
 use crate::acceptor::SharedState;
@@ -68,7 +68,11 @@
 
 /// Runs the program with the arguments of the process and returns its exit code.
 pub fn run_cli() -> ExitCode {
-    let layers = match Cli::parse().execute() {
+    let cli: Cli = match parse_arguments() {
+        Ok(cli) => cli,
+        Err(code) => return code,
+    };
+    let layers = match cli.execute() {
         CliOutcome::Run(layers) => layers,
         CliOutcome::Exit(code) => return code,
     };
@@ -76,7 +80,7 @@
         Ok(operator) => Rc::new(operator),
         Err(problems) => {
             for problem in problems {
-                eprintln!("violetwind: {problem}");
+                print_error!("violetwind: {problem}");
             }
             return ExitCode::FAILURE;
         }
@@ -85,14 +89,14 @@
     let config = match Config::from_env() {
         Ok(config) => Rc::new(config),
         Err(error) => {
-            eprintln!("violetwind: {error}");
+            print_error!("violetwind: {error}");
             return ExitCode::FAILURE;
         }
     };
     match run(config, operator, layers) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("violetwind: {error}");
+            print_error!("violetwind: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/proxy/src/operator_client.rs
+++ b/crates/proxy/src/operator_client.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
+use violetwind_output::{print_error, print_line, print_text, with_output_checked};
 
 use crate::cli::{FleetCommand, PlanArgs, WorkCommand};
 
@@ -84,8 +85,10 @@
     }
 }
 
-/// Runs a `violetwind fleet` command. Exit codes: 0 success, 1 refused, 69 no proxy answers.
+/// Runs a `violetwind fleet` command. Exit codes: 0 success, 1 refused, 69 no proxy answers, 74 a view that could not be
+/// written. A change that was made ends with 0 even if its answer could not be written.
 pub fn run_fleet(command: FleetCommand) -> ExitCode {
+    let is_view = matches!(command, FleetCommand::Status { .. });
     let (proxy, line, as_table) = match command {
         FleetCommand::Status { proxy, json } => (proxy, "FLEET".to_string(), !json),
         FleetCommand::LetIn { node, proxy } => (proxy, format!("FLEET LET-IN {node}"), false),
@@ -108,34 +111,44 @@
             result => break result,
         }
     };
-    match result {
+    let code = match result {
         Ok(Answer::Accepted(reply)) if as_table => match serde_json::from_str(&reply) {
             Ok(view) => {
-                print!("{}", format_fleet(&view));
+                print_text!("{}", format_fleet(&view));
                 ExitCode::SUCCESS
             }
             Err(error) => {
-                eprintln!("violetwind: {}: {error}", proxy.address);
+                print_error!("violetwind: {}: {error}", proxy.address);
                 ExitCode::FAILURE
             }
         },
         Ok(Answer::Accepted(reply)) => {
-            println!("{reply}");
+            print_line!("{reply}");
             ExitCode::SUCCESS
         }
         Ok(Answer::Refused(reason)) => {
-            eprintln!("violetwind: {reason}");
+            print_error!("violetwind: {reason}");
             ExitCode::FAILURE
         }
         Err(error) => {
-            eprintln!("violetwind: {error}");
+            print_error!("violetwind: {error}");
             ExitCode::from(EXIT_NO_PROXY)
         }
+    };
+    final_exit_code(code, is_view)
+}
+
+/// The exit code of a command that shows a view or makes a change.
+fn final_exit_code(code: ExitCode, is_view: bool) -> ExitCode {
+    match is_view {
+        true => with_output_checked(code),
+        false => code,
     }
 }
 
 /// Runs a `violetwind work` command, with the same exit codes as `run_fleet`.
 pub fn run_work(command: WorkCommand) -> ExitCode {
+    let is_view = matches!(command, WorkCommand::Show { .. });
     let format_order =
         |order: Option<u64>| order.map_or(String::new(), |number| number.to_string());
     let (address, line, as_json) = match command {
@@ -172,24 +185,25 @@
             None,
         ),
     };
-    match call(address, &line) {
+    let code = match call(address, &line) {
         Ok(Answer::Accepted(reply)) => {
             let view = serde_json::from_str(&reply).ok();
             match view.filter(|_| as_json == Some(false)) {
-                Some(view) => print!("{}", format_work(&view)),
-                None => println!("{reply}"),
+                Some(view) => print_text!("{}", format_work(&view)),
+                None => print_line!("{reply}"),
             }
             ExitCode::SUCCESS
         }
         Ok(Answer::Refused(reason)) => {
-            eprintln!("violetwind: {reason}");
+            print_error!("violetwind: {reason}");
             ExitCode::FAILURE
         }
         Err(error) => {
-            eprintln!("violetwind: {error}");
+            print_error!("violetwind: {error}");
             ExitCode::from(EXIT_NO_PROXY)
         }
-    }
+    };
+    final_exit_code(code, is_view)
 }
 
 /// Formats the call for a new work order.
--- a/crates/proxy/tests/commands.rs
+++ b/crates/proxy/tests/commands.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
+use std::fs::File;
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
-use common::{Server, unused_addr};
+use common::{Discovery, Proxy, Server, unused_addr};
 use serde_json::Value;
 use violetwind_standins::consul::{Check, Consul, Instance, Maintenance};
 
@@ -97,3 +98,66 @@
     let output = run_violetwind(&["--help"]);
     assert!(to_text(&output.stdout).contains("Examples:"));
 }
+
+/// Runs a command with standard output or error, or both, on a device on which each write fails with ENOSPC, and with a
+/// pipe whose reader is gone. Returns the exit codes.
+fn exit_codes_without_output(args: &[&str], stdout: bool, stderr: bool) -> [Option<i32>; 2] {
+    let full_disk = || Stdio::from(File::options().write(true).open("/dev/full").unwrap());
+    let no_reader = || Stdio::from(std::io::pipe().unwrap().1);
+    let run = |unwritable: &dyn Fn() -> Stdio| {
+        let target = |selected: bool| match selected {
+            true => unwritable(),
+            false => Stdio::null(),
+        };
+        let status = Command::new(env!("CARGO_BIN_EXE_violetwind"))
+            .args(args)
+            .env_remove("NODE_CONFIG")
+            .env_remove("VIOLETWIND_CONFIG")
+            .stdout(target(stdout))
+            .stderr(target(stderr))
+            .status();
+        status.unwrap().code()
+    };
+    [run(&full_disk), run(&no_reader)]
+}
+
+/// Guards against commands that panic (exit code 101) when nobody can read what they say, and against exit codes that
+/// claim more than was shown: 74 stands for output that is the purpose of the command and could not be written.
+#[test]
+fn a_command_whose_output_cannot_be_written_ends_by_its_own_rule() {
+    let bad = write_temp_file("bad-output.toml", "[log]\nformt = \"json\"\n");
+    let bad = bad.to_str().unwrap();
+    let good = write_temp_file("good-output.toml", "[log]\nformat = \"json\"\n");
+    let good = good.to_str().unwrap();
+    let server = Server::start("s-1");
+    let discovery = Discovery::start(&[server.target_row("ready")]);
+    let source = format!(
+        "[[source]]\nname = \"one\"\nkind = \"registry\"\naddress = \"{}\"\n",
+        discovery.addr
+    );
+    let sources = write_temp_file("sources-output.toml", &source);
+    let sources = sources.to_str().unwrap();
+    let nobody = unused_addr().to_string();
+    let proxy = Proxy::start_with_management(&discovery, |_| {});
+    let management = proxy.management.unwrap().to_string();
+    let cases: [(&[&str], bool, bool, i32); 13] = [
+        (&["--help"], true, true, 74),
+        (&["--version"], true, true, 74),
+        (&["completions", "bash"], true, true, 74),
+        (&["catalogue", sources], true, true, 74),
+        (&["catalogue", sources, "--json"], true, true, 74),
+        // Verdicts stay what they are.
+        (&["check", good], true, true, 0),
+        (&["check", bad], true, true, 1),
+        (&["catalogue", bad], true, true, 1),
+        (&["run", "--config", bad], false, true, 1),
+        (&["run", "--config", good], false, true, 1),
+        (&["no-such-command"], true, true, 2),
+        (&["fleet", "status", "--at", &nobody], true, true, 69),
+        (&["work", "show", "--at", &management], true, true, 1),
+    ];
+    for (args, stdout, stderr, code) in cases {
+        let codes = exit_codes_without_output(args, stdout, stderr);
+        assert_eq!(codes, [Some(code); 2], "{args:?}");
+    }
+}
--- a/crates/proxy/tests/held_commands.rs
+++ b/crates/proxy/tests/held_commands.rs
@@ -143,6 +143,11 @@
 impl HeldCommand {
     /// Starts it without waiting for its command.
     fn spawn(proxy: &PlayedProxy, script: &str, options: &[&str]) -> Self {
+        Self::spawn_with_log(proxy, script, options, Stdio::null())
+    }
+
+    /// Starts it with `log` as its standard error, without waiting for its command.
+    fn spawn_with_log(proxy: &PlayedProxy, script: &str, options: &[&str], log: Stdio) -> Self {
         let name = format!("held-{}-{}", std::process::id(), proxy.address.port());
         let pid_file = std::env::temp_dir().join(name);
         let script = format!(
@@ -155,7 +160,7 @@
             .args(["--", "sh", "-c", &script])
             .env("BEAT", &pid_file)
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(log)
             .spawn()
             .unwrap();
         Self { process, pid_file }
@@ -387,3 +392,55 @@
         assert_eq!(held.process.wait().unwrap().code(), Some(code), "{signal}");
     }
 }
+
+/// Guards against a command that runs on beside the next holder's because `violetwind hold` panicked at the message that
+/// its duty is lost, where standard error has no reader or its disk is full.
+#[test]
+fn a_hold_that_cannot_write_its_messages_ends_its_command() {
+    let unwritable_logs = [
+        ("no reader", pipe_without_reader()),
+        ("full disk", full_disk()),
+    ];
+    for (case, log) in unwritable_logs {
+        let proxy = PlayedProxy::start(2000, Behavior::Grant);
+        let options = ["--grace", "0.3"];
+        let mut held = HeldCommand::spawn_with_log(&proxy, STUBBORN_COMMAND, &options, log);
+        wait_until("the command runs", || held.group().is_some());
+        proxy.set_behavior(Behavior::NotHeld);
+        let status = held.process.wait().unwrap();
+        assert_eq!(status.code(), Some(76), "{case}");
+        assert_eq!(running_members(held.group().unwrap()), [], "{case}");
+    }
+}
+
+/// The same where the program can't be started or the duty is not held: the exit code is that of the page.
+#[test]
+fn a_hold_that_cannot_write_its_messages_ends_with_its_own_code() {
+    let proxy = PlayedProxy::start(2000, Behavior::Grant);
+    let run = |command: &str, log: Stdio| {
+        let status = Command::new(env!("CARGO_BIN_EXE_violetwind"))
+            .args(["hold", "export", "--at", &proxy.address.to_string()])
+            .args(["--", command])
+            .stderr(log)
+            .status();
+        status.unwrap().code()
+    };
+    assert_eq!(run("/nonexistent/program", full_disk()), Some(71));
+    assert!(proxy.is_released());
+    proxy.set_behavior(Behavior::NotHeld);
+    assert_eq!(run("true", pipe_without_reader()), Some(75));
+    proxy.set_behavior(Behavior::Closing);
+    assert_eq!(run("true", full_disk()), Some(69));
+}
+
+/// A pipe whose reader is gone: each write fails with EPIPE.
+fn pipe_without_reader() -> Stdio {
+    let (_, writer) = std::io::pipe().unwrap();
+    Stdio::from(writer)
+}
+
+/// A device on which each write fails with ENOSPC.
+fn full_disk() -> Stdio {
+    let device = std::fs::File::options().write(true).open("/dev/full");
+    Stdio::from(device.unwrap())
+}
--- a/crates/proxy/tests/outer_names/main.rs
+++ b/crates/proxy/tests/outer_names/main.rs
@@ -4,6 +4,8 @@
 //! `VIOLETWIND_PRINT_OUTER_NAMES=1 cargo test -p violetwind --test outer_names -- --nocapture --test-threads=1`
 //! prints the sections as the code has them, for the page; nothing writes the page itself.
 
+#![allow(clippy::print_stdout, reason = "a tool of developers, which may panic")]
+
 mod attributes;
 mod events;
 mod page;
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -1,6 +1,7 @@
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
+use violetwind_output::print_error;
 use violetwind_simhost::host;
 
 fn main() -> ExitCode {
@@ -11,7 +12,7 @@
     ) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("violetwind-simhost: {error}");
+            print_error!("violetwind-simhost: {error}");
             ExitCode::FAILURE
         }
     }
--- a/crates/standins/src/bin/violetwind-standin-consul.rs
+++ b/crates/standins/src/bin/violetwind-standin-consul.rs
@@ -5,6 +5,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use violetwind_output::{parse_arguments, print_error, print_line};
 use violetwind_standins::consul::{Check, Consul, ConsulMode, Instance, Maintenance};
 
 /// A Consul agent that answers /v1/health/service/NAME and /v1/catalog/service/NAME, and injects faults on command.
@@ -33,15 +34,18 @@
 }
 
 fn main() -> ExitCode {
-    let args = Args::parse();
+    let args: Args = match parse_arguments() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     if !args.listen.ip().is_loopback() {
-        eprintln!("{}: only loopback addresses are listened on", args.listen);
+        print_error!("{}: only loopback addresses are listened on", args.listen);
         return ExitCode::FAILURE;
     }
     let consul = match Consul::listen(args.listen, &args.service) {
         Ok(consul) => consul,
         Err(error) => {
-            eprintln!("{}: {error}", args.listen);
+            print_error!("{}: {error}", args.listen);
             return ExitCode::FAILURE;
         }
     };
@@ -54,16 +58,16 @@
                 ids.push(id.to_string());
             }
             None => {
-                eprintln!("--instance {instance}: expected ID=ADDRESS:PORT");
+                print_error!("--instance {instance}: expected ID=ADDRESS:PORT");
                 return ExitCode::FAILURE;
             }
         }
     }
-    println!("listening on {}", consul.addr);
+    print_line!("listening on {}", consul.addr);
     for line in std::io::stdin().lock().lines().map_while(Result::ok) {
         let words: Vec<&str> = line.split_whitespace().collect();
         if !run_command(&consul, &mut ids, &words) {
-            println!("unknown: {line}");
+            print_line!("unknown: {line}");
         }
     }
     ExitCode::SUCCESS
--- a/crates/standins/src/bin/violetwind-standin-receiver.rs
+++ b/crates/standins/src/bin/violetwind-standin-receiver.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use clap::Parser;
+use violetwind_output::{parse_arguments, print_error, print_line};
 use violetwind_standins::LineConnection;
 use violetwind_standins::receiver::Receiver;
 
@@ -26,7 +27,10 @@
 }
 
 fn main() -> ExitCode {
-    let options = Options::parse();
+    let options: Options = match parse_arguments() {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     if let Some(at) = options.work {
         let variable = |name: &str| std::env::var(name).unwrap_or_default();
         let (duty, fence) = (variable("VIOLETWIND_DUTY"), variable("VIOLETWIND_FENCE"));
@@ -36,7 +40,7 @@
             match connection.try_read_line() {
                 Ok(answer) if answer == "TAKEN" => sleep(Duration::from_millis(options.every_ms)),
                 answer => {
-                    eprintln!("{answer:?}");
+                    print_error!("{answer:?}");
                     return ExitCode::FAILURE;
                 }
             }
@@ -45,12 +49,12 @@
     let Some(receiver) = options.listen.and_then(|at| Receiver::start(at).ok()) else {
         return ExitCode::FAILURE;
     };
-    println!("{}", receiver.addr);
+    print_line!("{}", receiver.addr);
     let mut printed = 0;
     loop {
         let items = receiver.received_work();
         for item in &items[printed..] {
-            println!("{item:?}");
+            print_line!("{item:?}");
         }
         printed = items.len();
         sleep(Duration::from_millis(200));
--- a/crates/standins/src/bin/violetwind-standin-relay.rs
+++ b/crates/standins/src/bin/violetwind-standin-relay.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use violetwind_output::{parse_arguments, print_error, print_line};
 use violetwind_standins::relay::{Direction, Relay};
 
 /// Relays TCP connections, with faults on command.
@@ -20,15 +21,18 @@
 }
 
 fn main() -> ExitCode {
-    let options = Options::parse();
+    let options: Options = match parse_arguments() {
+        Ok(options) => options,
+        Err(code) => return code,
+    };
     let relay = match Relay::start(options.listen, options.to) {
         Ok(relay) => relay,
         Err(error) => {
-            eprintln!("{}: {error}", options.listen);
+            print_error!("{}: {error}", options.listen);
             return ExitCode::FAILURE;
         }
     };
-    println!("{} to {}", relay.addr, options.to);
+    print_line!("{} to {}", relay.addr, options.to);
     for line in std::io::stdin().lock().lines().map_while(Result::ok) {
         let command = match line.split_once(' ') {
             Some(("there", mode)) => mode.parse().map(|mode| (Direction::Forward, mode)),
@@ -37,7 +41,7 @@
         };
         match command {
             Ok((direction, mode)) => relay.set_mode(direction, mode),
-            Err(error) => eprintln!("{error}"),
+            Err(error) => print_error!("{error}"),
         }
     }
     ExitCode::SUCCESS
--- a/crates/storm/examples/budgets.rs
+++ b/crates/storm/examples/budgets.rs
@@ -3,6 +3,8 @@
 //! time of the real code. Everything except the CPU time is simulated.
 //! Run with `cargo run --release -p violetwind-storm --example budgets`.
 
+#![allow(clippy::print_stdout, reason = "a tool of developers, which may panic")]
+
 use std::time::Instant;
 
 use violetwind_fleet::budget::{BudgetDefinition, BudgetKind};
--- a/crates/storm/examples/nights.rs
+++ b/crates/storm/examples/nights.rs
@@ -2,6 +2,8 @@
 //! and in fixed batches of as many machines as were out at the same time; also the cost of the planner. Simulated in
 //! steps, without faults. Run with `cargo run --release -p violetwind-storm --example nights`.
 
+#![allow(clippy::print_stdout, reason = "a tool of developers, which may panic")]
+
 use std::time::Instant;
 
 use violetwind_storm::work_orders::World;
