Nobody waits for the reader of the log: a thread of its own writes it

Seen by callers: with a pipe of 4 KiB, a log at trace and nobody who reads, no client got an answer in 15 s; violetwind hold whose standard error is a full pipe left its command running past the end of the duty.

Cause: the one thread of a proxy stands in write(2); in hold the message stands before the end of the command. Ruled out: failed writes (mended before, and the pipe had its reader).

Change: standard error is written from a bounded queue (lines and bytes) in run and in hold; what is dropped is counted by cause, in HEALTH and in one line of the log; the end waits 0.1 s; panics are logged. tracing-appender is not used: its guard prints where the queue is full at the end, waits 1.1 s and counts no failed writes.

The test that counts threads of a program without a fleet now names them, log and violetwind, which is as strict.

--- a/crates/output/src/console.rs
+++ b/crates/output/src/console.rs
@@ -4,15 +4,20 @@
 use std::fmt;
 use std::io::{self, ErrorKind, Write};
 use std::process::ExitCode;
-use std::sync::OnceLock;
+use std::sync::{Arc, OnceLock};
 
 use clap::Parser;
 
+use crate::background_writer::{BackgroundWriter, FormatNotice, WriterLimits};
+
 /// Exit code: the output that the command is for could not be written (`EX_IOERR` of `sysexits.h`).
 pub const EXIT_OUTPUT_LOST: u8 = 74;
 /// Exit code of a command line that can't be parsed.
 const EXIT_USAGE: u8 = 2;
 
+/// Writes to standard error in the background, once a process has asked for that.
+static ERROR_WRITER: OnceLock<Arc<BackgroundWriter>> = OnceLock::new();
+
 /// The first error of a write to standard output. What follows it is dropped, so that the output has no gaps.
 static OUTPUT_ERROR: OnceLock<io::Error> = OnceLock::new();
 
@@ -52,9 +57,34 @@
     }
 }
 
-/// Writes to standard error in one call, so that the lines of several processes are not mixed.
+/// Writes a line to standard error, in one call, so that the lines of several processes are not mixed. Waits for the
+/// reader, unless [`write_errors_in_background`] was called.
 pub fn write_error(text: fmt::Arguments<'_>) {
-    let _ = io::stderr().lock().write_all(text.to_string().as_bytes());
+    let text = text.to_string();
+    match ERROR_WRITER.get() {
+        Some(writer) => writer.write_line(text.as_bytes()),
+        None => drop(io::stderr().lock().write_all(text.as_bytes())),
+    }
+}
+
+/// From now on [`write_error`] waits for nobody: for processes that have more to do than to be read. They call
+/// [`flush_errors`] before they end. Returns the writer, which is the same one for each call.
+///
+/// # Errors
+/// The thread that writes can't be started.
+pub fn write_errors_in_background(
+    limits: WriterLimits,
+    format_notice: FormatNotice,
+) -> io::Result<Arc<BackgroundWriter>> {
+    let writer = BackgroundWriter::start(io::stderr(), limits, format_notice)?;
+    Ok(ERROR_WRITER.get_or_init(|| writer).clone())
+}
+
+/// Waits a bounded time until what was written to standard error in the background is out.
+pub fn flush_errors() {
+    if let Some(writer) = ERROR_WRITER.get() {
+        writer.flush();
+    }
 }
 
 /// The exit code of a command whose purpose is its output: `code`, but [`EXIT_OUTPUT_LOST`] in place of success if
--- a/crates/proxy/src/held_command.rs
+++ b/crates/proxy/src/held_command.rs
@@ -13,7 +13,7 @@
 use rustix::process::{Pid, Signal, kill_process_group, test_kill_process_group};
 use serde_json::Value;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use violetwind_output::print_error;
+use violetwind_output::{LostLines, WriterLimits, console, print_error};
 
 use crate::cli::HoldArgs;
 use crate::fleet::boottime_ms;
@@ -267,8 +267,26 @@
     Signaled(u8),
 }
 
-/// Runs a command while a duty is held at a proxy.
+/// Runs a command while a duty is held at a proxy. Messages are written in the background: the end of the command must
+/// not wait for somebody who reads them.
 pub fn run_hold(args: &HoldArgs) -> ExitCode {
+    let started =
+        console::write_errors_in_background(WriterLimits::default(), Box::new(format_notice));
+    if let Err(error) = started {
+        print_error!("violetwind: {error}");
+        return ExitCode::from(EXIT_NO_COMMAND);
+    }
+    let code = hold_duty(args);
+    console::flush_errors();
+    code
+}
+
+fn format_notice(lost: LostLines) -> Vec<u8> {
+    format!("violetwind: {} messages were lost\n", lost.total()).into_bytes()
+}
+
+/// Acquires the duty and runs the command under its lease.
+fn hold_duty(args: &HoldArgs) -> ExitCode {
     let client = DutyClient {
         proxy: args.proxy.address,
         duty: args.duty.clone(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod line_protocol;
 pub mod load_classifier;
 pub mod log_throttle;
+pub mod logging;
 pub mod management;
 pub mod operator_client;
 pub mod operator_config;
@@ -40,13 +41,14 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tracing::{info, warn};
 use violetwind_engine::{Clock, Engine, EngineConfig};
 use violetwind_net::retry_on_exhaustion;
-use violetwind_output::{parse_arguments, print_error};
+use violetwind_output::{BackgroundWriter, console, parse_arguments, print_error};
 use violetwind_record::Recorder;
 
 use crate::acceptor::SharedState;
@@ -58,6 +60,7 @@
 use crate::fleet::maintenance::{self, MaintenanceAgent};
 use crate::handover::{HandoverContext, InheritedState};
 use crate::limits::{DescriptorPool, Limits};
+use crate::logging::init_logging;
 use crate::operator_config::{ConfigLayers, OperatorConfig};
 use crate::operator_service::{OperatorService, ProcessState};
 use crate::pending_slots::PendingSlots;
@@ -85,48 +88,26 @@
             return ExitCode::FAILURE;
         }
     };
-    init_logging(&operator);
-    let config = match Config::from_env() {
-        Ok(config) => Rc::new(config),
-        Err(error) => {
-            print_error!("violetwind: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
-    match run(config, operator, layers) {
+    let code = match run(operator, layers) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             print_error!("violetwind: {error}");
             ExitCode::FAILURE
         }
-    }
-}
-
-/// Sets up logging to standard error. `VIOLETWIND_LOG` (error, warn, info, debug or trace) takes precedence over the
-/// operator's file.
-fn init_logging(operator: &OperatorConfig) {
-    let level = std::env::var("VIOLETWIND_LOG").ok();
-    let level = level.and_then(|level| level.parse().ok());
-    let log = tracing_subscriber::fmt()
-        .with_max_level(level.unwrap_or(operator.log_level))
-        .with_writer(io::stderr)
-        // Otherwise a failed write is reported by `eprintln!`, which panics in the task that logs.
-        .log_internal_errors(false)
-        .with_ansi(false)
-        .with_target(false);
-    match operator.log_as_json {
-        true => log.json().flatten_event(true).init(),
-        false => log.init(),
-    }
+    };
+    console::flush_errors();
+    code
 }
 
 /// Runs the proxy on a single-threaded runtime until it ends.
-fn run(config: Rc<Config>, operator: Rc<OperatorConfig>, layers: ConfigLayers) -> io::Result<()> {
+fn run(operator: Rc<OperatorConfig>, layers: ConfigLayers) -> io::Result<()> {
+    let log = init_logging(&operator)?;
+    let config = Rc::new(Config::from_env().map_err(io::Error::other)?);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let tasks = tokio::task::LocalSet::new();
-    let result = tasks.block_on(&runtime, serve(config, operator, layers));
+    let result = tasks.block_on(&runtime, serve(config, operator, layers, log));
     // Tasks that still run end with the process.
     runtime.shutdown_background();
     result
@@ -137,6 +118,7 @@
     config: Rc<Config>,
     operator: Rc<OperatorConfig>,
     layers: ConfigLayers,
+    log: Arc<BackgroundWriter>,
 ) -> io::Result<()> {
     // The handlers are installed first, because an unhandled signal would kill the process.
     let hangup_signals = Signals::hangup()?;
@@ -258,6 +240,7 @@
                 .is_some_and(|fleet| fleet.maintenance.is_some()),
         ),
     );
+    service.set_log(log);
     service.set_predecessor_present(inherited.predecessor.is_some());
     let connection_events = engine_sender.clone();
     let shared = SharedState::new(
--- a/crates/proxy/src/operator_service.rs
+++ b/crates/proxy/src/operator_service.rs
@@ -1,12 +1,13 @@
 //! Executes operators' commands. A change is applied in the engine, saved to disk and forwarded to the other
 //! process of an upgrade; its answer begins with 200 only after all of these have completed.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
@@ -14,6 +15,7 @@
 use violetwind_engine::{EngineEvent, OperatorReply, UnlistedServers};
 use violetwind_fleet as fleet;
 use violetwind_fleet::work_orders::WorkAction;
+use violetwind_output::BackgroundWriter;
 use violetwind_service::command::{self, OperatorCommand};
 use violetwind_service::{Bans, OperatorChange, handover};
 
@@ -90,6 +92,8 @@
     admission_closed: Cell<bool>,
     /// The predecessor process of an upgrade is still running.
     has_predecessor: Cell<bool>,
+    /// The log, which counts the lines that were lost.
+    log: OnceCell<Arc<BackgroundWriter>>,
     /// A task is retrying to save the bans after a failure.
     bans_retry_running: Cell<bool>,
 }
@@ -122,6 +126,7 @@
             does_maintenance,
             admission_closed: Cell::new(false),
             has_predecessor: Cell::new(false),
+            log: OnceCell::new(),
             bans_retry_running: Cell::new(false),
         })
     }
@@ -165,6 +170,26 @@
         self.admission_closed.set(true);
     }
 
+    /// Sets the log whose lost lines `HEALTH` tells. Only the first call has an effect.
+    pub fn set_log(&self, log: Arc<BackgroundWriter>) {
+        let _ = self.log.set(log);
+    }
+
+    /// The part of the answer to `HEALTH` that tells how many log lines were lost; empty if none were.
+    fn describe_lost_log_lines(&self) -> String {
+        let lost = self.log.get().map(|log| log.lost_lines());
+        let lost = lost.unwrap_or_default();
+        if lost.total() == 0 {
+            return String::new();
+        }
+        format!(
+            ", {} log lines lost (queue full {}, write failed {})",
+            lost.total(),
+            lost.queue_full,
+            lost.write_failed
+        )
+    }
+
     /// Records whether the predecessor process of an upgrade is still running.
     pub fn set_predecessor_present(&self, is_running: bool) {
         self.has_predecessor.set(is_running);
@@ -331,7 +356,10 @@
         sent.map_err(|_| "the engine has ended".to_string())?;
         let servers = answer.await.map_err(to_engine_ended)?;
         let left_suffix = if self.has_left() { ", left" } else { "" };
-        Ok(format!("serving, {servers} servers known{left_suffix}"))
+        let log_suffix = self.describe_lost_log_lines();
+        Ok(format!(
+            "serving, {servers} servers known{left_suffix}{log_suffix}"
+        ))
     }
 
     /// Applies a change in all processes. Returns the reply of this process, since another may have no list yet. A
--- a/crates/proxy/tests/commands.rs
+++ b/crates/proxy/tests/commands.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Command, Output, Stdio};
 
@@ -121,6 +123,20 @@
     [run(&full_disk), run(&no_reader)]
 }
 
+/// Starts a proxy, played by the test, that accepts each operator's call, and returns its address.
+fn start_accepting_proxy() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut line = String::new();
+            let _ = BufReader::new(&stream).read_line(&mut line);
+            let _ = stream.write_all(b"200 {}\n");
+        }
+    });
+    address
+}
+
 /// Guards against commands that panic (exit code 101) when nobody can read what they say, and against exit codes that
 /// claim more than was shown: 74 stands for output that is the purpose of the command and could not be written.
 #[test]
@@ -140,7 +156,8 @@
     let nobody = unused_addr().to_string();
     let proxy = Proxy::start_with_management(&discovery, |_| {});
     let management = proxy.management.unwrap().to_string();
-    let cases: [(&[&str], bool, bool, i32); 13] = [
+    let accepting = start_accepting_proxy();
+    let cases: [(&[&str], bool, bool, i32); 19] = [
         (&["--help"], true, true, 74),
         (&["--version"], true, true, 74),
         (&["completions", "bash"], true, true, 74),
@@ -155,6 +172,18 @@
         (&["no-such-command"], true, true, 2),
         (&["fleet", "status", "--at", &nobody], true, true, 69),
         (&["work", "show", "--at", &management], true, true, 1),
+        (&["fleet", "status", "--at", &accepting], true, true, 74),
+        (
+            &["fleet", "status", "--json", "--at", &accepting],
+            true,
+            true,
+            74,
+        ),
+        (&["work", "show", "--at", &accepting], true, true, 74),
+        // A change has been made, whoever reads that.
+        (&["fleet", "gone", "n9", "--at", &accepting], true, true, 0),
+        (&["work", "pause", "--at", &accepting], true, true, 0),
+        (&["work", "done", "m-1", "--at", &accepting], true, true, 0),
     ];
     for (args, stdout, stderr, code) in cases {
         let codes = exit_codes_without_output(args, stdout, stderr);
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 mod played_successor;
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufRead, BufReader, PipeReader, PipeWriter, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -468,6 +468,13 @@
     }
 }
 
+/// A pipe that holds 4 KiB and is full once the process has written its first lines, as nobody reads it.
+pub fn small_pipe() -> (PipeReader, PipeWriter) {
+    let (reader, writer) = std::io::pipe().unwrap();
+    rustix::pipe::fcntl_setpipe_size(&writer, 4096).unwrap();
+    (reader, writer)
+}
+
 /// Where the log of a process goes, and its level.
 struct LogTarget {
     stderr: Stdio,
--- a/crates/proxy/tests/duties.rs
+++ b/crates/proxy/tests/duties.rs
@@ -768,13 +768,17 @@
     spec.duties.clear();
     let fleet = FleetHarness::start(spec);
     fleet.wait_until("a view of the member", |fleet| fleet.fetch_view(0));
-    let thread_count = |pid: u32| {
-        std::fs::read_dir(format!("/proc/{pid}/task"))
-            .unwrap()
-            .count()
+    let thread_names = |pid: u32| {
+        let threads = std::fs::read_dir(format!("/proc/{pid}/task")).unwrap();
+        let mut names: Vec<String> = threads
+            .map(|thread| std::fs::read_to_string(thread.unwrap().path().join("comm")).unwrap())
+            .map(|name| name.trim_end().to_string())
+            .collect();
+        names.sort_unstable();
+        names
     };
-    assert!(thread_count(fleet.pid(0).unwrap()) >= 2);
-    // The same program without an operator's file has a single thread.
+    assert!(thread_names(fleet.pid(0).unwrap()).len() >= 3);
+    // The same program without an operator's file has the thread that serves and the one that writes the log.
     let standalone = fleet.start_standalone_process(0);
     let health = fleet.wait_until("the process without an operator's file serves", |_| {
         let mut caller = std::net::TcpStream::connect(standalone.management_addr)
@@ -790,5 +794,5 @@
     let mut caller = LineConnection::connect(standalone.management_addr);
     caller.send_line("FLEET");
     assert!(caller.read_line().starts_with("400 unknown call"));
-    assert_eq!(thread_count(standalone.child.id()), 1);
+    assert_eq!(thread_names(standalone.child.id()), ["log", "violetwind"]);
 }
--- a/crates/proxy/tests/held_commands.rs
+++ b/crates/proxy/tests/held_commands.rs
@@ -444,3 +444,25 @@
     let device = std::fs::File::options().write(true).open("/dev/full");
     Stdio::from(device.unwrap())
 }
+
+/// Guards against a command that runs on beside the next holder's because `violetwind hold` waits for a reader of its
+/// message that the duty is lost.
+#[test]
+fn a_hold_whose_messages_nobody_reads_ends_its_command() {
+    let (_unread, mut writer) = std::io::pipe().unwrap();
+    rustix::pipe::fcntl_setpipe_size(&writer, 4096).unwrap();
+    writer.write_all(&[b'x'; 4096]).unwrap();
+    let proxy = PlayedProxy::start(2000, Behavior::Grant);
+    let options = ["--grace", "0.3"];
+    let log = Stdio::from(writer);
+    let mut held = HeldCommand::spawn_with_log(&proxy, STUBBORN_COMMAND, &options, log);
+    wait_until("the command runs", || held.group().is_some());
+    proxy.set_behavior(Behavior::NotHeld);
+    held.wait_until_group_is_gone();
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    while held.process.try_wait().unwrap().is_none() {
+        assert!(Instant::now() < deadline, "violetwind hold does not end");
+        sleep(Duration::from_millis(5));
+    }
+    assert_eq!(held.process.wait().unwrap().code(), Some(76));
+}
