During an upgrade the old process does not speak for the proxy's machines

Cause: two processes have one name, and the old one spoke for it by its own clients. Units in use keep its session up to its end: it confirmed the machine list with no clients, as it had handed them over, and reported that the proxy had stopped serving, which removed the name from those that have to confirm. Ruled out: the successor's report (no session yet, and it counts its predecessor as a client).

Change: a superseded process confirms nothing and never reports the end of serving, also where the successor comes while it shuts down. The name stays among those that have to confirm until the successor does.

Test: work_upgrade, a machine is not empty while the successor has clients there.

--- a/crates/fleet/src/member/mod.rs
+++ b/crates/fleet/src/member/mod.rs
@@ -326,9 +326,10 @@
             Input::Call(token, call) => self.handle_call(token, call),
             Input::LocalWorkStatus(local) => self.update_local_work(local),
             Input::Quit | Input::QuitAfterDrain => {
-                if matches!(input, Input::QuitAfterDrain) && self.work_participant.is_some() {
-                    self.session_client.set_leave_after_drain(true);
-                }
+                // A process that drains may get a successor, which goes on for the proxy.
+                let drains_first = matches!(input, Input::QuitAfterDrain);
+                self.session_client
+                    .set_leave_after_drain(drains_first && self.work_participant.is_some());
                 self.is_quitting = true;
                 self.session_client
                     .quit(self.now, &self.config.limits, &mut self.events);
--- a/crates/proxy/src/fleet/maintenance.rs
+++ b/crates/proxy/src/fleet/maintenance.rs
@@ -442,21 +442,25 @@
                     .any(|server| server.up && !server.banned)
             })
         };
+        // A process that has handed its clients over no longer knows which machines the proxy's clients use. It confirms
+        // nothing, and its name stays among those that have to confirm: the successor does it.
+        let can_confirm = !self.is_write_failing && !self.service.is_superseded();
         LocalWorkStatus {
-            list_version: if self.is_write_failing {
-                0
-            } else {
+            list_version: if can_confirm {
                 self.availability.list_version()
-            },
-            reports: if self.is_write_failing {
-                BTreeMap::new()
             } else {
+                0
+            },
+            reports: if can_confirm {
                 reports
+            } else {
+                BTreeMap::new()
             },
             up_machines: machines.keys().filter(is_up).cloned().collect(),
             machines,
             closed_machines,
             has_stopped_serving: self.service.is_admission_closed()
+                && !self.service.is_superseded()
                 && snapshot.connections == 0
                 && predecessor_clients == 0,
             unix_time_ms: self.wall_clock.earliest_ms(),
--- a/crates/proxy/src/handover/mod.rs
+++ b/crates/proxy/src/handover/mod.rs
@@ -302,9 +302,7 @@
     async fn yield_to_successor(&self) {
         let service = &self.shared.operator_service;
         self.accepting.send_replace(false);
-        if service.process_state() != ProcessState::ShuttingDown {
-            service.set_process_state(ProcessState::Superseded);
-        }
+        service.set_superseded();
         let schedule = ShutdownSchedule::new(self.shared.config.get().longest_deadline);
         let event = EngineEvent::SuccessorChanged(Some(schedule.superseded_move_window));
         let _ = self.shared.engine.send(event).await;
--- a/crates/proxy/src/operator_service.rs
+++ b/crates/proxy/src/operator_service.rs
@@ -92,6 +92,9 @@
     admission_closed: Cell<bool>,
     /// The predecessor process of an upgrade is still running.
     has_predecessor: Cell<bool>,
+    /// A successor process serves the clients, or did when this process began to shut down. Only the successor knows
+    /// which clients the proxy has.
+    is_superseded: Cell<bool>,
     /// The log, which counts the lines that were lost.
     log: OnceCell<Arc<BackgroundWriter>>,
     /// A task is retrying to save the bans after a failure.
@@ -126,6 +129,7 @@
             does_maintenance,
             admission_closed: Cell::new(false),
             has_predecessor: Cell::new(false),
+            is_superseded: Cell::new(false),
             log: OnceCell::new(),
             bans_retry_running: Cell::new(false),
         })
@@ -145,14 +149,34 @@
     /// is activated or deactivated accordingly.
     pub fn set_process_state(&self, process_state: ProcessState) {
         self.process_state.set(process_state);
-        if let Some(fleet) = &self.fleet {
-            match process_state {
-                ProcessState::Starting => {}
-                ProcessState::Serving => fleet.activate(),
-                ProcessState::Superseded => fleet.deactivate(false),
-                ProcessState::ShuttingDown => fleet.deactivate(self.does_maintenance),
+        if process_state == ProcessState::Serving {
+            self.is_superseded.set(false);
+            if let Some(fleet) = &self.fleet {
+                fleet.activate();
             }
         }
+        if process_state == ProcessState::ShuttingDown
+            && let Some(fleet) = &self.fleet
+        {
+            // A process that has a successor does not drain the proxy: the proxy goes on serving.
+            fleet.deactivate(self.does_maintenance && !self.is_superseded());
+        }
+    }
+
+    /// Records that a successor serves the clients from now on. A process that is shutting down goes on with that.
+    pub fn set_superseded(&self) {
+        self.is_superseded.set(true);
+        if self.process_state() != ProcessState::ShuttingDown {
+            self.process_state.set(ProcessState::Superseded);
+        }
+        if let Some(fleet) = &self.fleet {
+            fleet.deactivate(false);
+        }
+    }
+
+    /// Whether a successor serves the clients, so that this process must not speak for the proxy in the fleet.
+    pub fn is_superseded(&self) -> bool {
+        self.is_superseded.get()
     }
 
     /// Whether this process takes part in maintenance work on machines.
